--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -1,6 +1,6 @@
 #include "entry/settings.hpp"
 
-#include "entry/internal/settings_reader.hpp"
+#include "masticgap/transport/settings_reader.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/leaf/error.hpp>
@@ -12,7 +12,7 @@
 namespace masticgap::entry {
 
 namespace leaf = boost::leaf;
-using internal::SettingsReader;
+using transport::SettingsReader;
 
 namespace {
 
--- /dev/null
+++ b/src/gateway/decision_log.cpp
@@ -0,0 +1,132 @@
+#include "gateway/decision_log.hpp"
+
+#include "masticgap/transport/boot_clock.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace masticgap::gateway {
+
+namespace {
+
+//! Bytes that wait for standard output. Routine lines use half of it, so that
+//! they cannot displace failures.
+constexpr std::size_t BufferBytes = 128 * 1024;
+constexpr std::size_t RoutineBytes = BufferBytes / 2;
+//! A pipe takes this much at once without blocking once poll() allows a write.
+constexpr std::size_t WriteBytes = 4096;
+//! Lines gather for this time, which saves a system call for each of them.
+constexpr std::chrono::milliseconds FlushDelay{250};
+
+bool needsQuotes(std::string_view Text) {
+  return Text.empty() || std::ranges::any_of(Text, [](char C) {
+           return C <= ' ' || C == '"' || C == '=' || C == 0x7f;
+         });
+}
+
+void append(std::string &Line, std::string_view Text) {
+  if (!needsQuotes(Text)) {
+    Line += Text;
+    return;
+  }
+  Line += '"';
+  for (const char C : Text) {
+    if (C == '"' || C == '\\')
+      Line += '\\';
+    Line += C < ' ' || C == 0x7f ? '?' : C;
+  }
+  Line += '"';
+}
+
+} // namespace
+
+LogValue::LogValue(double Number) {
+  std::array<char, 32> Digits{};
+  const int Size = std::snprintf(Digits.data(), Digits.size(), "%.3f", Number);
+  Text.assign(Digits.data(), static_cast<std::size_t>(std::max(0, Size)));
+}
+
+DecisionLog::DecisionLog(boost::asio::io_context &Io, HostId Host, int Handle)
+    : Timer(Io), Host(std::move(Host)), Handle(Handle) {}
+
+DecisionLog::~DecisionLog() { flush(); }
+
+void DecisionLog::write(LogClass Class, std::string_view Event,
+                        std::initializer_list<Field> Fields) {
+  const std::size_t Room =
+      Class == LogClass::Routine ? RoutineBytes : BufferBytes;
+  if (Closed || Buffer.size() >= Room) {
+    ++Dropped;
+    return;
+  }
+  ++Lines;
+  Buffer += "ts=";
+  Buffer += std::to_string(transport::unixMilliseconds());
+  Buffer += " host=";
+  append(Buffer, Host.value());
+  Buffer += " event=";
+  append(Buffer, Event);
+  for (const auto &[Name, Value] : Fields) {
+    Buffer += ' ';
+    Buffer += Name;
+    Buffer += '=';
+    append(Buffer, Value.text());
+  }
+  Buffer += '\n';
+  arm();
+}
+
+void DecisionLog::arm() {
+  if (Armed)
+    return;
+  Armed = true;
+  Timer.expires_after(FlushDelay);
+  Timer.async_wait([this](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    Armed = false;
+    flush();
+    if (!Buffer.empty() && !Closed)
+      arm();
+  });
+}
+
+void DecisionLog::flush() {
+  if (Dropped > DroppedTold && Buffer.size() < BufferBytes) {
+    Buffer += "ts=" + std::to_string(transport::unixMilliseconds()) +
+              " host=" + Host.value() + " event=log_dropped lines=" +
+              std::to_string(Dropped - DroppedTold) + "\n";
+    DroppedTold = Dropped;
+  }
+  std::size_t Done = 0;
+  while (Done < Buffer.size()) {
+    pollfd Ready{Handle, POLLOUT, 0};
+    if (::poll(&Ready, 1, 0) != 1 || (Ready.revents & POLLOUT) == 0)
+      break;
+    const auto Wrote = ::write(Handle, Buffer.data() + Done,
+                               std::min(WriteBytes, Buffer.size() - Done));
+    if (Wrote < 0 && (errno == EINTR || errno == EAGAIN))
+      break;
+    if (Wrote < 0) {
+      // Nobody reads any more; there is no other place to tell it.
+      Closed = true;
+      Dropped += std::count(Buffer.begin(), Buffer.end(), '\n');
+      Buffer.clear();
+      return;
+    }
+    Done += static_cast<std::size_t>(Wrote);
+  }
+  Buffer.erase(0, Done);
+}
+
+void DecisionLog::stop() {
+  Timer.cancel();
+  flush();
+}
+
+} // namespace masticgap::gateway
--- /dev/null
+++ b/src/gateway/gateway_daemon.cpp
@@ -0,0 +1,422 @@
+#include "gateway/gateway_daemon.hpp"
+
+#include "masticgap/coordination/fleet/lookup_hosts.hpp"
+#include "masticgap/state/captured.hpp"
+#include "masticgap/transport/boot_clock.hpp"
+#include "masticgap/transport/http_types.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/leaf/error.hpp>
+#include <boost/system/system_error.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace masticgap::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace leaf = boost::leaf;
+using namespace coordination;
+
+namespace {
+
+//! Period of the shares of regions, of lapses and of the catch-up with peers.
+constexpr std::chrono::milliseconds TickPeriod{500};
+//! Time before the end of the grace period at which the process ends itself.
+constexpr std::chrono::milliseconds StopReserve{400};
+//! Wait before the write of the own address is tried again.
+constexpr std::chrono::seconds AnnounceRetry{5};
+//! Suspicion of a member before it counts as dead, in gossip periods.
+constexpr int SuspicionPeriods = 3;
+//! Buffers of the gossip socket: a few hundred datagrams.
+constexpr std::size_t GossipBufferBytes = 128 * 1024;
+
+//! Draws the seed of a process, so that hosts do not act in step.
+std::uint64_t drawSeed() {
+  std::random_device Device;
+  return (std::uint64_t{Device()} << 32) | Device();
+}
+
+transport::HttpServerLimits smallServerLimits() {
+  transport::HttpServerLimits Limits;
+  Limits.MaxBodyBytes = 4096;
+  Limits.MaxConnections = 1024;
+  return Limits;
+}
+
+} // namespace
+
+//! Listening sockets.
+struct GatewayDaemon::Ports {
+  std::unique_ptr<GatewayServer> Traffic;
+  std::unique_ptr<transport::HttpServer> Lookup;
+  std::unique_ptr<transport::HttpServer> Readiness;
+  std::unique_ptr<transport::HttpServer> Metrics;
+  std::unique_ptr<PeerExchange> Peers;
+};
+
+GatewayDaemon::GatewayDaemon(asio::io_context &Io, GatewaySettings Given,
+                             PlatformPort GivenPort, SettingsLoader Loader)
+    : Io(Io), Settings(std::move(Given)), Port(std::move(GivenPort)),
+      Reload(std::move(Loader)), Seed(drawSeed()),
+      Run(makeIncarnation(transport::unixMilliseconds(),
+                          static_cast<std::uint16_t>(Seed))),
+      Started(transport::now()), State(Io, Settings, Port.Wire, Seed),
+      Sync(State, Port, [this] { announceProgress(); }),
+      Servers(std::make_unique<Ports>()), TickTimer(Io), StopTimer(Io) {}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+EntryHostDescriptor GatewayDaemon::descriptor() const {
+  EntryHostDescriptor Self;
+  Self.Id = Settings.Host;
+  Self.Region = Settings.Region;
+  Self.Domain = Settings.Domain;
+  Self.Run = Run;
+  Self.Address = Settings.Traffic.Address;
+  Self.LookupPort = Settings.Lookup.Port;
+  Self.TrafficPort = Settings.Traffic.Port;
+  Self.AdminPort = Settings.PeerPort;
+  Self.GossipPort = Settings.GossipPort;
+  return Self;
+}
+
+leaf::result<void> GatewayDaemon::start() {
+  const std::string &Address = Settings.Traffic.Address;
+  try {
+    Servers->Readiness = std::make_unique<transport::HttpServer>(
+        Io, Settings.Readiness, smallServerLimits(),
+        [this](transport::HttpRequest Request,
+               const transport::HttpServer::Reply &Reply) {
+          Reply(answerReadiness(Request));
+        });
+    Servers->Lookup = std::make_unique<transport::HttpServer>(
+        Io, Settings.Lookup, smallServerLimits(),
+        [this](transport::HttpRequest Request,
+               const transport::HttpServer::Reply &Reply) {
+          Reply(answerLookup(Request));
+        });
+    Servers->Peers = std::make_unique<PeerExchange>(
+        Io, Endpoint{Address, Settings.PeerPort},
+        [this](StoreTable Table) { return Sync.image(Table); });
+    if (Settings.MetricsPort != 0)
+      Servers->Metrics = std::make_unique<transport::HttpServer>(
+          Io, Endpoint{Address, Settings.MetricsPort}, smallServerLimits(),
+          [this](transport::HttpRequest Request,
+                 const transport::HttpServer::Reply &Reply) {
+            Reply(answerMetrics(Request));
+          });
+    Servers->Traffic = std::make_unique<GatewayServer>(State, Settings.Traffic);
+  } catch (const boost::system::system_error &Failure) {
+    return leaf::new_error(
+        Error{ErrorKind::Unavailable,
+              std::string("a port cannot be bound: ") + Failure.what(),
+              "free the port or set another one"});
+  }
+  BOOST_LEAF_CHECK(startGossip());
+  State.Log.write(LogClass::Decision, "started",
+                  {{"region", Settings.Region.value()},
+                   {"domain", Settings.Domain.value()},
+                   {"run", Run.Value},
+                   {"traffic_port", unsigned{Settings.Traffic.Port}}});
+  Sync.start();
+  announceHost();
+  armTick();
+  return {};
+}
+
+leaf::result<void> GatewayDaemon::startGossip() {
+  Gossip.reset();
+  Hybrid = std::make_unique<HybridClock>(Run, Started);
+  transport::GossipNodeSettings Node;
+  Node.Membership.Self = descriptor();
+  for (const Endpoint &Each : Settings.Seeds)
+    Node.Membership.Seeds.push_back({Each.Address, Settings.GossipPort});
+  std::erase(Node.Membership.Seeds,
+             Endpoint{Settings.Traffic.Address, Settings.GossipPort});
+  Node.Membership.RandomSeed = Seed + 1;
+  Node.Membership.Timing.Period = Settings.GossipPeriod;
+  Node.Membership.Timing.DirectTimeout = Settings.GossipPeriod / 2;
+  Node.Membership.Timing.SuspicionTime =
+      Settings.GossipPeriod * SuspicionPeriods;
+  Node.BindAddress = Settings.Traffic.Address;
+  Node.BindPort = Settings.GossipPort;
+  Node.SocketBufferBytes = GossipBufferBytes;
+  Node.Now = [] { return transport::now(); };
+  transport::GossipCallbacks Callbacks;
+  Callbacks.MemberChanged = [this](const MemberRecord &Changed) {
+    onMembersChanged(Changed);
+  };
+  Callbacks.MemberProgressed = [this](const MemberRecord &Peer) {
+    if (Peer.Host.Id != Settings.Host)
+      Sync.peerProgressed(Peer, *Servers->Peers);
+  };
+  Callbacks.SelfSuperseded = [this](const MemberRecord &Newer) {
+    // The wall clock went back since this host's last run, so peers know a
+    // later incarnation; this run takes the next one.
+    State.Log.write(LogClass::Decision, "incarnation_raised",
+                    {{"seen", Newer.Host.Run.Value}, {"own", Run.Value}});
+    Run = Incarnation{std::max(Run.Value, Newer.Host.Run.Value) + (1U << 16)};
+    asio::post(Io, [this] {
+      if (Ended)
+        return;
+      auto Restarted = capture<bool>([this]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(startGossip());
+        return true;
+      });
+      if (const auto *Problem = std::get_if<Error>(&Restarted))
+        State.Log.write(LogClass::Decision, "gossip_failed",
+                        {{"error", describe(*Problem)}});
+    });
+  };
+  BOOST_LEAF_ASSIGN(Gossip,
+                    transport::GossipNode::start(Io, std::move(Node), *Hybrid,
+                                                 std::move(Callbacks)));
+  if (Stopping)
+    Gossip->planLeave();
+  announceProgress();
+  updateHosts();
+  return {};
+}
+
+void GatewayDaemon::onMembersChanged(const MemberRecord &Changed) {
+  const char *Status = Changed.Status == MemberStatus::Alive     ? "alive"
+                       : Changed.Status == MemberStatus::Suspect ? "suspect"
+                       : Changed.Status == MemberStatus::Dead    ? "dead"
+                                                                 : "left";
+  if (Changed.Host.Id != Settings.Host)
+    State.Log.write(LogClass::Decision, "member",
+                    {{"peer", Changed.Host.Id.value()},
+                     {"status", Status},
+                     {"draining", Changed.Draining},
+                     {"run", Changed.Host.Run.Value}});
+  updateHosts();
+}
+
+void GatewayDaemon::updateHosts() {
+  if (!Gossip)
+    return;
+  std::vector<HostId> All;
+  std::map<RegionName, unsigned> Live;
+  for (const MemberRecord &Each : Gossip->members()) {
+    All.push_back(Each.Host.Id);
+    if (isLive(Each))
+      ++Live[Each.Host.Region];
+  }
+  State.Dispatch.setHosts(std::move(All), std::move(Live));
+}
+
+void GatewayDaemon::announceProgress() {
+  // Gossip carries two version numbers of a member; a gateway puts the newest
+  // changes of its two tables there.
+  const TableProgress Now = Sync.progress();
+  if (Gossip && State.Config)
+    Gossip->setProgress(Now.Operator, Now.Workers);
+}
+
+void GatewayDaemon::catchUpWithPeers() {
+  if (!Gossip)
+    return;
+  const MemberRecord *Ahead = nullptr;
+  for (const MemberRecord &Each : Gossip->members())
+    if (Each.Status == MemberStatus::Alive && Each.Host.Id != Settings.Host &&
+        (!Ahead ||
+         Each.ConfigVersion + Each.Epoch > Ahead->ConfigVersion + Ahead->Epoch))
+      Ahead = &Each;
+  if (Ahead)
+    Sync.peerProgressed(*Ahead, *Servers->Peers);
+}
+
+void GatewayDaemon::announceHost() {
+  if (Stopping || Announced)
+    return;
+  Port.Store.AnnounceHost(Settings.Host.value(), Settings.Traffic.Address,
+                          [this](bool Done) { Announced = Done; });
+  Port.Store.Read(StoreTable::Hosts, [this](auto Answer) {
+    const auto *Image = std::get_if<TableImage>(&Answer);
+    if (!Image) {
+      auto Timer = std::make_shared<asio::steady_timer>(Io, AnnounceRetry);
+      Timer->async_wait(
+          [this, Timer](boost::system::error_code) { announceHost(); });
+      return;
+    }
+    if (!Gossip || Ended)
+      return;
+    std::vector<Endpoint> Found;
+    for (const TableRow &Row : Image->Rows)
+      if (Row.Key != Settings.Host.value())
+        Found.push_back({Row.Value, Settings.GossipPort});
+    Gossip->addSeeds(Found);
+  });
+}
+
+void GatewayDaemon::armTick() {
+  TickTimer.expires_after(TickPeriod);
+  TickTimer.async_wait([this](boost::system::error_code Failure) {
+    if (Failure || Ended)
+      return;
+    tick();
+    armTick();
+  });
+}
+
+void GatewayDaemon::tick() {
+  for (const WorkerId &Id : State.Dispatch.tick(State.now()))
+    State.Log.write(LogClass::Decision, "worker_gone",
+                    {{"worker", Id.value()}, {"reason", "lapsed"}});
+  const WorkerDirectory &Directory = State.Dispatch.directory();
+  State.Connections.sweep([&](const WorkerId &Id, Incarnation Of) {
+    const KnownWorker *Known = Directory.find(Id);
+    return Known && Known->Worker.Run == Of;
+  });
+  catchUpWithPeers();
+}
+
+bool GatewayDaemon::isReady() const {
+  return State.Config && !Stopping &&
+         !State.Dispatch.directory().workers().empty();
+}
+
+transport::HttpResponse
+GatewayDaemon::answerReadiness(const transport::HttpRequest &Request) const {
+  const bool Known = transport::targetPath(
+                         {Request.target().data(), Request.target().size()}) ==
+                     Port.Wire.ReadinessPath;
+  const auto Status = !Known      ? http::status::not_found
+                      : isReady() ? http::status::ok
+                                  : http::status::service_unavailable;
+  return transport::jsonResponse(Request, Status, "{}");
+}
+
+transport::HttpResponse
+GatewayDaemon::answerLookup(const transport::HttpRequest &Request) {
+  const std::string_view Target(Request.target().data(),
+                                Request.target().size());
+  if (transport::targetPath(Target) != Port.Wire.LookupPath)
+    return transport::errorResponse(Request, http::status::not_found,
+                                    "not_found", "no such call");
+  const LookupQuestion Question = Port.Wire.ParseLookup(Target);
+  std::vector<RegionName> Homes;
+  if (State.Config)
+    for (const Route &Each : State.Config->Routes)
+      if (Each.HostName == Question.HostName)
+        Homes.insert(Homes.end(), Each.HomeRegions.begin(),
+                     Each.HomeRegions.end());
+  LookupCriteria Criteria;
+  Criteria.Region = Question.Region.empty() ? Settings.Region : Question.Region;
+  Criteria.Homes = Homes;
+  std::vector<std::string> Addresses;
+  for (const MemberRecord *Each : lookupHosts(Gossip->members(), Criteria))
+    Addresses.push_back(Each->Host.Address + ":" +
+                        std::to_string(Each->Host.TrafficPort));
+  State.Measured.count("lookups", Addresses.empty() ? "empty" : "answered");
+  if (Addresses.empty())
+    return transport::errorResponse(Request, http::status::service_unavailable,
+                                    "unavailable", "no host takes callers");
+  return transport::jsonResponse(
+      Request, http::status::ok,
+      Port.Wire.LookupAnswer(Addresses, Settings.LookupTtl));
+}
+
+transport::HttpResponse
+GatewayDaemon::answerMetrics(const transport::HttpRequest &Request) const {
+  std::vector<std::pair<std::string, double>> Gauges{
+      {"config_version", static_cast<double>(State.configVersion())},
+      {"requests_in_flight", State.InFlight},
+      {"store_connected", Sync.isConnected() ? 1 : 0},
+      {"log_lines_dropped", static_cast<double>(State.Log.dropped())},
+      {"caller_connections",
+       static_cast<double>(Servers->Traffic->openConnections())},
+      {"worker_connections",
+       static_cast<double>(State.Connections.openConnections())},
+      {"worker_connections_opened",
+       static_cast<double>(State.Connections.connectionsOpened())},
+      {"workers_known",
+       static_cast<double>(State.Dispatch.directory().workers().size())},
+      {"members", static_cast<double>(Gossip ? Gossip->members().size() : 0)}};
+  transport::HttpResponse Answer = transport::jsonResponse(
+      Request, http::status::ok, State.Measured.text(Gauges));
+  Answer.set(http::field::content_type, "text/plain; version=0.0.4");
+  return Answer;
+}
+
+void GatewayDaemon::reload() {
+  auto Loaded = capture<GatewaySettings>([this] { return Reload(); });
+  if (const auto *Problem = std::get_if<Error>(&Loaded)) {
+    State.Log.write(LogClass::Decision, "reload_failed",
+                    {{"error", describe(*Problem)}});
+    return;
+  }
+  auto &New = std::get<GatewaySettings>(Loaded);
+  const bool Moved =
+      New.Traffic != Settings.Traffic || New.Lookup != Settings.Lookup ||
+      New.Readiness != Settings.Readiness ||
+      New.GossipPort != Settings.GossipPort ||
+      New.PeerPort != Settings.PeerPort || New.Host != Settings.Host;
+  if (Moved) {
+    State.Log.write(LogClass::Decision, "reload_partial",
+                    {{"reason", "addresses change at the next start only"}});
+    New.Traffic = Settings.Traffic;
+    New.Lookup = Settings.Lookup;
+    New.Readiness = Settings.Readiness;
+    New.GossipPort = Settings.GossipPort;
+    New.PeerPort = Settings.PeerPort;
+    New.Host = Settings.Host;
+  }
+  Settings = std::move(New);
+  State.Log.write(
+      LogClass::Decision, "reloaded",
+      {{"seeds", static_cast<std::uint64_t>(Settings.Seeds.size())}});
+}
+
+void GatewayDaemon::requestStop() {
+  if (std::exchange(Stopping, true))
+    return;
+  State.Log.write(LogClass::Decision, "stopping",
+                  {{"in_flight", State.InFlight},
+                   {"connections", static_cast<std::uint64_t>(
+                                       Servers->Traffic->openConnections())}});
+  if (Gossip)
+    Gossip->planLeave();
+  Servers->Traffic->closeAfterAnswers();
+  StopTimer.expires_after(
+      std::min(Settings.ServeCached, Settings.GracePeriod / 2));
+  StopTimer.async_wait([this](boost::system::error_code Failure) {
+    if (!Failure)
+      finishRequests();
+  });
+}
+
+void GatewayDaemon::finishRequests() {
+  StopTimer.expires_after(
+      Settings.GracePeriod -
+      std::min(Settings.ServeCached, Settings.GracePeriod / 2) - StopReserve);
+  StopTimer.async_wait([this](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    State.Log.write(LogClass::Decision, "grace_over",
+                    {{"in_flight", State.InFlight}});
+    Servers->Traffic->abort();
+    end();
+  });
+  Servers->Traffic->drain([this] { end(); });
+}
+
+void GatewayDaemon::end() {
+  if (std::exchange(Ended, true))
+    return;
+  State.Log.write(LogClass::Decision, "stopped",
+                  {{"log_lines_dropped", State.Log.dropped()}});
+  if (Gossip)
+    Gossip->leave();
+  Sync.stop();
+  TickTimer.cancel();
+  StopTimer.cancel();
+  State.Log.stop();
+  // Calls to the store may be pending for seconds.
+  Io.stop();
+}
+
+} // namespace masticgap::gateway
--- /dev/null
+++ b/src/gateway/gateway_server.cpp
@@ -0,0 +1,179 @@
+#include "gateway/gateway_server.hpp"
+
+#include "entry/caller_connection.hpp"
+#include "gateway/request_flow.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <set>
+#include <utility>
+
+namespace masticgap::gateway {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using entry::CallerConnection;
+using entry::ReadFailure;
+using Tcp = asio::ip::tcp;
+
+class GatewayServer::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(GatewayState &State, const Endpoint &Bind)
+      : State(State), Acceptor(State.Io) {
+    const Tcp::endpoint Address(asio::ip::make_address(Bind.Address),
+                                Bind.Port);
+    Acceptor.open(Address.protocol());
+    Acceptor.set_option(asio::socket_base::reuse_address(true));
+    Acceptor.bind(Address);
+    Acceptor.listen();
+  }
+
+  void accept();
+  void accepted(Tcp::socket Socket);
+  asio::awaitable<void> session(std::shared_ptr<CallerConnection> Caller);
+  asio::awaitable<bool> serveNext(CallerConnection &Caller);
+  asio::awaitable<void> rejectUnreadable(CallerConnection &Caller,
+                                         ReadFailure Why);
+  void ended(const std::shared_ptr<CallerConnection> &Caller);
+
+  GatewayState &State;
+  Tcp::acceptor Acceptor;
+  std::set<std::shared_ptr<CallerConnection>> Callers;
+  std::set<RequestFlow *> Running;
+  std::function<void()> OnEmpty;
+  bool Draining = false;
+  bool Leaving = false;
+};
+
+void GatewayServer::Impl::accept() {
+  Acceptor.async_accept([Self = shared_from_this()](beast::error_code Failure,
+                                                    Tcp::socket Socket) {
+    if (Failure == asio::error::operation_aborted || Self->Draining)
+      return;
+    if (Failure)
+      Self->State.Log.write(LogClass::Decision, "accept_failed",
+                            {{"error", Failure.message()}});
+    else if (Self->Callers.size() < Self->State.Limits.MaxCallers)
+      Self->accepted(std::move(Socket));
+    else
+      Self->State.Measured.count("callers", "over_limit");
+    Self->accept();
+  });
+}
+
+void GatewayServer::Impl::accepted(Tcp::socket Socket) {
+  beast::error_code Ignored;
+  Socket.set_option(Tcp::no_delay(true), Ignored);
+  auto Caller =
+      std::make_shared<CallerConnection>(std::move(Socket), State.Limits);
+  if (Leaving)
+    Caller->endAfterAnswer();
+  Callers.insert(Caller);
+  asio::co_spawn(State.Io, session(Caller),
+                 [Self = shared_from_this(),
+                  Caller](const std::exception_ptr &) { Self->ended(Caller); });
+}
+
+void GatewayServer::Impl::ended(
+    const std::shared_ptr<CallerConnection> &Caller) {
+  Callers.erase(Caller);
+  if (Draining && Callers.empty() && OnEmpty)
+    std::exchange(OnEmpty, {})();
+}
+
+asio::awaitable<void>
+GatewayServer::Impl::session(std::shared_ptr<CallerConnection> Caller) {
+  bool More = true;
+  while (More) {
+    More = co_await serveNext(*Caller);
+    Caller->setBusy(false);
+    // A drain closes the connections that had no request at that time.
+    if (Draining)
+      More = false;
+  }
+  co_await Caller->closeGently();
+}
+
+asio::awaitable<bool> GatewayServer::Impl::serveNext(CallerConnection &Caller) {
+  GatewayRequest Request;
+  auto Failed = co_await Caller.readHead();
+  if (!Failed) {
+    Request.Head = Caller.head();
+    Failed = co_await Caller.readBody(Request.Body);
+  }
+  if (Failed == ReadFailure::Closed) {
+    Caller.close();
+    co_return false;
+  }
+  if (Failed) {
+    co_await rejectUnreadable(Caller, *Failed);
+    co_return false;
+  }
+  Request.Streamed = !Caller.isBodyRead();
+  RequestFlow Flow(State, Caller, Request);
+  Running.insert(&Flow);
+  co_await Flow.serve();
+  Running.erase(&Flow);
+  co_return Caller.isReusable();
+}
+
+asio::awaitable<void>
+GatewayServer::Impl::rejectUnreadable(CallerConnection &Caller,
+                                      ReadFailure Why) {
+  const bool TooLarge = Why == ReadFailure::TooLarge;
+  State.Log.write(LogClass::Decision, "unreadable_request",
+                  {{"reason", TooLarge ? "too_large" : "malformed"}});
+  transport::HttpResponse Answer(TooLarge ? http::status::payload_too_large
+                                          : http::status::bad_request,
+                                 11);
+  Answer.keep_alive(false);
+  Answer.body() =
+      TooLarge ? R"({"error":"too_large"})" : R"({"error":"malformed"})";
+  Answer.prepare_payload();
+  Caller.endAfterAnswer();
+  co_await Caller.write(std::move(Answer));
+}
+
+GatewayServer::GatewayServer(GatewayState &State, const Endpoint &Bind)
+    : Pimpl(std::make_shared<Impl>(State, Bind)) {
+  Pimpl->accept();
+}
+
+GatewayServer::~GatewayServer() = default;
+
+void GatewayServer::closeAfterAnswers() {
+  Pimpl->Leaving = true;
+  for (const auto &Each : Pimpl->Callers)
+    Each->endAfterAnswer();
+}
+
+void GatewayServer::drain(std::function<void()> OnEmpty) {
+  Pimpl->Draining = true;
+  beast::error_code Ignored;
+  Pimpl->Acceptor.close(Ignored);
+  Pimpl->OnEmpty = std::move(OnEmpty);
+  const auto Open = Pimpl->Callers;
+  for (const auto &Each : Open) {
+    Each->endAfterAnswer();
+    if (!Each->isBusy())
+      Each->closeIfQuiet();
+  }
+  if (Pimpl->Callers.empty() && Pimpl->OnEmpty)
+    std::exchange(Pimpl->OnEmpty, {})();
+}
+
+void GatewayServer::abort() {
+  const auto Open = Pimpl->Callers;
+  for (const auto &Each : Open)
+    Each->abort();
+  for (RequestFlow *Each : Pimpl->Running)
+    Each->abort();
+}
+
+std::size_t GatewayServer::openConnections() const {
+  return Pimpl->Callers.size();
+}
+
+} // namespace masticgap::gateway
--- /dev/null
+++ b/src/gateway/gateway_state.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "entry/settings.hpp"
+#include "gateway/decision_log.hpp"
+#include "gateway/metrics.hpp"
+#include "gateway/platform_port.hpp"
+#include "gateway/settings.hpp"
+#include "masticgap/coordination/dispatch/dispatcher.hpp"
+#include "masticgap/coordination/traffic_split/split_schedule.hpp"
+#include "masticgap/transport/worker_connection_pool.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <random>
+
+namespace masticgap::gateway {
+
+//! What the parts of one gateway share. One thread owns it.
+class GatewayState {
+public:
+  GatewayState(boost::asio::io_context &Io, const GatewaySettings &Settings,
+               const CallerWire &Wire, std::uint64_t Seed);
+
+  Instant now() const;
+  std::uint64_t configVersion() const { return Config ? Config->Version : 0; }
+  //! Puts a configuration in force.
+  void adopt(std::shared_ptr<const TrafficConfig> New);
+
+  boost::asio::io_context &Io;
+  const GatewaySettings &Settings;
+  const CallerWire &Wire;
+  //! Limits of connections, as the configuration states them.
+  entry::EntryLimits Limits;
+  DecisionLog Log;
+  Metrics Measured;
+  std::mt19937_64 Random;
+  std::shared_ptr<const TrafficConfig> Config; //!< Null until the first one.
+  coordination::Dispatcher Dispatch;
+  coordination::SplitSchedule Splits;
+  transport::WorkerConnectionPool Connections;
+  unsigned InFlight = 0; //!< Requests being served.
+};
+
+} // namespace masticgap::gateway
--- /dev/null
+++ b/src/gateway/platform_port.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "masticgap/coordination/affinity/worker_record.hpp"
+#include "masticgap/coordination/fleet/worker_directory.hpp"
+#include "masticgap/coordination/replica/replicated_table.hpp"
+#include "masticgap/coordination/replica/table_follower.hpp"
+#include "masticgap/state/captured.hpp"
+#include "masticgap/state/traffic_config.hpp"
+#include "masticgap/transport/worker_dialect.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace masticgap::gateway {
+
+//! Tables of the platform's store that a gateway follows.
+enum class StoreTable {
+  Operator, //!< Configuration and evacuations, written by the operator.
+  Workers,  //!< Registrations, written by the workers.
+  Hosts     //!< Gateways, written by each of them at its start.
+};
+
+//! Changes that lead up to a version.
+struct TableChanges {
+  std::vector<coordination::RowChange> Changes;
+  std::uint64_t Version = 0;
+};
+
+//! Calls to the platform's store. Each handler is called once, on the thread of
+//! the gateway.
+struct StorePort {
+  using ReadHandler = std::function<void(
+      std::variant<coordination::TableImage, coordination::StoreFailure>)>;
+  using ChangesHandler = std::function<void(
+      std::variant<TableChanges, coordination::StoreFailure>)>;
+
+  std::function<void(StoreTable, ReadHandler)> Read;
+  std::function<void(StoreTable, coordination::AwaitChanges, ChangesHandler)>
+      Await;
+  //! Writes this gateway's address to the table of hosts.
+  std::function<void(std::string Host, std::string Address,
+                     std::function<void(bool)>)>
+      AnnounceHost;
+};
+
+//! The operator wants a failure domain emptied.
+struct Evacuation {
+  FailureDomainName Domain;
+};
+//! A row of the operator that means nothing to a gateway.
+struct ForeignRow {};
+using OperatorRow =
+    std::variant<std::shared_ptr<const TrafficConfig>, Evacuation, ForeignRow>;
+
+//! Reads rows of the store; an Error says what is wrong with a row.
+struct RowReader {
+  std::function<Captured<OperatorRow>(const coordination::TableRow &)> Operator;
+  std::function<Captured<coordination::WorkerEntry>(
+      const coordination::TableRow &)>
+      Worker;
+};
+
+//! What a caller asks when it looks up where to connect.
+struct LookupQuestion {
+  std::string HostName;
+  RegionName Region;
+  FailureDomainName Domain;
+};
+
+//! Names and formats between callers, gateways and workers.
+struct CallerWire {
+  std::string RequestIdField;
+  std::string DeadlineField;       //!< Milliseconds that are left.
+  std::string ExpectedWorkerField; //!< Id of the only worker that may run it.
+  std::string SignatureField;      //!< Of a worker's genuine answer.
+  std::string LoadField;           //!< Of a worker, with its answer.
+  std::string ObjectCookie;        //!< Names the object of a request.
+  std::function<std::optional<coordination::QueueReport>(std::string_view)>
+      ParseLoad;
+  transport::WorkerDialect Workers;
+
+  std::string ReadinessPath;
+  std::string LookupPath;
+  std::function<LookupQuestion(std::string_view Target)> ParseLookup;
+  std::function<std::string(std::span<const std::string> Addresses,
+                            std::chrono::milliseconds Ttl)>
+      LookupAnswer;
+};
+
+//! Everything that a gateway needs from the platform that it runs on.
+struct PlatformPort {
+  StorePort Store;
+  RowReader Rows;
+  CallerWire Wire;
+};
+
+} // namespace masticgap::gateway
--- /dev/null
+++ b/src/gateway/settings.cpp
@@ -0,0 +1,103 @@
+#include "gateway/settings.hpp"
+
+#include "masticgap/transport/settings_reader.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <fstream>
+#include <iterator>
+#include <limits>
+
+namespace masticgap::gateway {
+
+namespace leaf = boost::leaf;
+using transport::SettingsReader;
+
+namespace {
+
+constexpr std::uint64_t MaxPort = std::numeric_limits<std::uint16_t>::max();
+constexpr std::uint64_t MaxTimeMs = 3600000;
+constexpr double MaxSlack = 1e6;
+
+leaf::error_id invalid(std::string Message, std::string Remedy) {
+  return leaf::new_error(
+      Error{ErrorKind::InvalidSettings, std::move(Message), std::move(Remedy)});
+}
+
+void readPlace(SettingsReader &Reader, GatewaySettings &S) {
+  S.Host = HostId(Reader.text("host"));
+  S.Region = RegionName(Reader.text("region"));
+  S.Domain = FailureDomainName(Reader.text("failure_domain"));
+  for (const auto &[Domain, Region] : Reader.texts("failure_domains"))
+    S.Domains.emplace(FailureDomainName(Domain), RegionName(Region));
+}
+
+void readAddresses(SettingsReader &Reader, GatewaySettings &S) {
+  S.Traffic = Reader.endpoint("traffic");
+  S.Readiness = Reader.endpoint("readiness");
+  S.Lookup = Reader.endpoint("lookup");
+  S.Platform = Reader.endpoint("platform");
+  S.Seeds = Reader.endpoints("seeds");
+  S.GossipPort = Reader.number("gossip_port", 1, MaxPort, S.GossipPort);
+  S.PeerPort = Reader.number("peer_port", 1, MaxPort, S.PeerPort);
+  S.MetricsPort = Reader.number("metrics_port", 0, MaxPort, S.MetricsPort);
+}
+
+void readLimits(SettingsReader &Reader, GatewaySettings &S) {
+  S.LookupTtl = Reader.duration("lookup_ttl", 100, MaxTimeMs, S.LookupTtl);
+  S.GracePeriod =
+      Reader.duration("grace_period", 100, MaxTimeMs, S.GracePeriod);
+  S.ServeCached = Reader.duration("serve_cached", 0, MaxTimeMs, S.ServeCached);
+  S.ConnectTimeout =
+      Reader.duration("connect_timeout", 1, MaxTimeMs, S.ConnectTimeout);
+  S.TimeoutSlack =
+      Reader.duration("timeout_slack", 0, MaxTimeMs, S.TimeoutSlack);
+  S.CrossRegion = Reader.duration("cross_region", 0, MaxTimeMs, S.CrossRegion);
+  S.GossipPeriod =
+      Reader.duration("gossip_period", 50, MaxTimeMs, S.GossipPeriod);
+  S.MaxCallers = Reader.number("max_callers", 1, 1000000, S.MaxCallers);
+  S.Retries.Ratio = Reader.decimal("retry_ratio", 0, 10, S.Retries.Ratio);
+  S.Retries.Slack = Reader.decimal("retry_slack", 0, MaxSlack, S.Retries.Slack);
+  S.Retries.Window = Reader.duration("retry_window", 1000, MaxTimeMs,
+                                     std::chrono::seconds(10));
+  S.LogRequests = Reader.flag("log_requests", S.LogRequests);
+}
+
+} // namespace
+
+leaf::result<GatewaySettings> parseSettings(std::string_view Json) {
+  boost::json::error_code Failure;
+  const boost::json::value Value =
+      boost::json::parse({Json.data(), Json.size()}, Failure);
+  if (Failure)
+    return invalid("the settings are not JSON: " + Failure.message(),
+                   "correct the text");
+  if (!Value.is_object())
+    return invalid("the settings are not a JSON object",
+                   "write them as {\"host\":…}");
+  SettingsReader Reader(Value.as_object());
+  GatewaySettings Settings;
+  readPlace(Reader, Settings);
+  readAddresses(Reader, Settings);
+  readLimits(Reader, Settings);
+  if (auto Problem = Reader.finish())
+    return leaf::new_error(std::move(*Problem));
+  if (!Settings.Domains.contains(Settings.Domain))
+    return invalid("setting \"failure_domain\" has the value \"" +
+                       Settings.Domain.value() +
+                       "\", which \"failure_domains\" does not have",
+                   "add the failure domain and its region");
+  return Settings;
+}
+
+leaf::result<GatewaySettings> loadSettings(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    return invalid("the settings file \"" + Path + "\" cannot be read",
+                   "pass a readable file with --settings");
+  const std::string Json{std::istreambuf_iterator<char>(File), {}};
+  return parseSettings(Json);
+}
+
+} // namespace masticgap::gateway
--- /dev/null
+++ b/src/gateway/store_sync.cpp
@@ -0,0 +1,283 @@
+#include "gateway/store_sync.hpp"
+
+#include "masticgap/state/error.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticgap::gateway {
+
+using namespace coordination;
+
+namespace {
+
+//! A feed of the own usually brings the change as soon as a peer's, so a peer
+//! is asked only if it is still ahead after this time.
+constexpr std::chrono::milliseconds PeerDelay{250};
+//! Time after the return of the store in which missing registrations may be
+//! lapses of the outage.
+constexpr Duration LapseWindow = std::chrono::seconds(2);
+
+const char *tableName(StoreTable Table) {
+  return Table == StoreTable::Operator ? "operator" : "workers";
+}
+
+} // namespace
+
+StoreSync::StoreSync(GatewayState &State, const PlatformPort &Port,
+                     std::function<void()> OnChange)
+    : State(State), Port(Port), OnChange(std::move(OnChange)),
+      OperatorFeed(State.Io, StoreTable::Operator, State.Random()),
+      WorkerFeed(State.Io, StoreTable::Workers, State.Random()) {}
+
+StoreSync::~StoreSync() { *Alive = false; }
+
+void StoreSync::start() {
+  run(OperatorFeed);
+  run(WorkerFeed);
+}
+
+void StoreSync::stop() {
+  Stopped = true;
+  OperatorFeed.Timer.cancel();
+  WorkerFeed.Timer.cancel();
+}
+
+void StoreSync::run(Feed &Of) {
+  if (Stopped)
+    return;
+  perform(Of, Of.Follower.nextCall(State.now()));
+}
+
+void StoreSync::perform(Feed &Of, const FollowerCall &Call) {
+  if (const auto *Pause = std::get_if<PauseUntil>(&Call)) {
+    Of.Timer.expires_after(Pause->Time - State.now());
+    Of.Timer.async_wait([this, &Of](boost::system::error_code Failure) {
+      if (!Failure)
+        run(Of);
+    });
+    return;
+  }
+  State.Measured.count("store_calls", tableName(Of.Table));
+  if (const auto *Await = std::get_if<AwaitChanges>(&Call)) {
+    Port.Store.Await(Of.Table, *Await, [this, &Of, Keep = Alive](auto Answer) {
+      if (!*Keep)
+        return;
+      if (const auto *Why = std::get_if<StoreFailure>(&Answer))
+        return failed(Of, *Why);
+      const auto &Got = std::get<TableChanges>(Answer);
+      settled(Of,
+              Of.Follower.changesDone(Got.Changes, Got.Version, State.now()),
+              "store");
+    });
+    return;
+  }
+  Port.Store.Read(Of.Table, [this, &Of, Keep = Alive](auto Answer) {
+    if (!*Keep)
+      return;
+    if (const auto *Why = std::get_if<StoreFailure>(&Answer))
+      return failed(Of, *Why);
+    const auto &Image = std::get<TableImage>(Answer);
+    settled(Of, Of.Follower.readDone(Image, State.now()), "store");
+  });
+}
+
+void StoreSync::failed(Feed &Of, StoreFailure Why) {
+  const bool Gone = Why == StoreFailure::HistoryGone;
+  Of.Follower.failed(Why, State.now());
+  State.Measured.count("store_failures", Gone ? "history_gone" : "unavailable");
+  if (Gone)
+    State.Log.write(LogClass::Decision, "store_history_gone",
+                    {{"table", tableName(Of.Table)},
+                     {"version", Of.Follower.table().version()}});
+  else if (Of.Connected)
+    State.Log.write(LogClass::Decision, "store_lost",
+                    {{"table", tableName(Of.Table)},
+                     {"version", Of.Follower.table().version()}});
+  Of.Connected = Gone && Of.Connected;
+  run(Of);
+}
+
+void StoreSync::settled(Feed &Of, const std::vector<RowChange> &Changes,
+                        std::string_view Source) {
+  if (!Of.Connected && Source == "store") {
+    Of.Connected = true;
+    State.Log.write(LogClass::Decision, "store_connected",
+                    {{"table", tableName(Of.Table)},
+                     {"version", Of.Follower.table().version()}});
+  }
+  apply(Of, Changes, Source);
+  if (Source == "store")
+    run(Of);
+}
+
+bool StoreSync::afterOutage(const Feed &Of) const {
+  if (!Of.Follower.isConnected())
+    return true;
+  return Of.Follower.reconnectedAt() != Instant() &&
+         State.now() - Of.Follower.reconnectedAt() < LapseWindow;
+}
+
+void StoreSync::apply(Feed &Of, const std::vector<RowChange> &Changes,
+                      std::string_view Source) {
+  Removed.clear();
+  for (const RowChange &Each : Changes) {
+    Of.LastChange = std::max(Of.LastChange, Each.Row.Version);
+    if (Of.Table == StoreTable::Operator)
+      applyOperator(Each, Source);
+    else
+      applyWorker(Each);
+  }
+  if (!Removed.empty()) {
+    const bool Lapse = afterOutage(Of);
+    for (const WorkerId &Id : Removed)
+      State.Log.write(LogClass::Decision, "worker_unregistered",
+                      {{"worker", Id.value()},
+                       {"lapse", Lapse},
+                       {"source", std::string(Source)},
+                       {"version", Of.Follower.table().version()}});
+    State.Dispatch.directory().removed(Removed, Lapse, State.now());
+  }
+  if (Of.Table == StoreTable::Workers && Of.Follower.table().isLoaded())
+    InitialWorkers = false;
+  if (!Changes.empty())
+    OnChange();
+}
+
+void StoreSync::applyOperator(const RowChange &Change,
+                              std::string_view Source) {
+  const std::string &Key = Change.Row.Key;
+  if (Change.Removed) {
+    if (Evacuations.erase(Key) == 0)
+      return;
+    State.Log.write(LogClass::Decision, "evacuation_ended",
+                    {{"row", Key}, {"version", Change.Row.Version}});
+  } else {
+    const auto Read = Port.Rows.Operator(Change.Row);
+    if (const auto *Problem = std::get_if<Error>(&Read)) {
+      State.Log.write(LogClass::Decision, "row_unreadable",
+                      {{"row", Key},
+                       {"error", describe(*Problem)},
+                       {"version", Change.Row.Version}});
+      return;
+    }
+    const auto &Row = std::get<OperatorRow>(Read);
+    if (const auto *New =
+            std::get_if<std::shared_ptr<const TrafficConfig>>(&Row)) {
+      if (State.Config && (*New)->Version <= State.Config->Version)
+        return;
+      State.adopt(*New);
+      State.Log.write(
+          LogClass::Decision, "config_adopted",
+          {{"version", (*New)->Version},
+           {"routes", static_cast<std::uint64_t>((*New)->Routes.size())},
+           {"source", std::string(Source)}});
+      return;
+    }
+    const auto *Zone = std::get_if<Evacuation>(&Row);
+    if (!Zone)
+      return;
+    Evacuations[Key] = Zone->Domain;
+    State.Log.write(LogClass::Decision, "evacuation_started",
+                    {{"domain", Zone->Domain.value()},
+                     {"source", std::string(Source)},
+                     {"version", Change.Row.Version}});
+  }
+  std::set<FailureDomainName> Domains;
+  for (const auto &[Row, Domain] : Evacuations)
+    Domains.insert(Domain);
+  State.Dispatch.directory().setEvacuated(
+      std::move(Domains),
+      [this](const ServiceName &Service) {
+        return State.Dispatch.coldStart(Service);
+      },
+      State.now());
+}
+
+void StoreSync::applyWorker(const RowChange &Change) {
+  const WorkerId Id(Change.Row.Key);
+  if (Change.Removed) {
+    Removed.push_back(Id);
+    return;
+  }
+  const auto Read = Port.Rows.Worker(Change.Row);
+  if (const auto *Problem = std::get_if<Error>(&Read)) {
+    State.Dispatch.directory().unreadable(Id);
+    State.Log.write(LogClass::Decision, "row_unreadable",
+                    {{"row", Id.value()},
+                     {"error", describe(*Problem)},
+                     {"version", Change.Row.Version}});
+    return;
+  }
+  const auto &Entry = std::get<WorkerEntry>(Read);
+  const bool Taken =
+      State.Dispatch.directory().registered(Entry, State.now(), InitialWorkers);
+  State.Log.write(
+      LogClass::Decision, "worker_registered",
+      {{"worker", Id.value()},
+       {"service", Entry.Worker.Service.value()},
+       {"domain", Entry.Worker.Domain.value()},
+       {"leaving", Entry.Worker.Leaving},
+       {"cold_ms",
+        std::chrono::duration<double, std::milli>(Entry.ColdFor).count()},
+       {"taken", Taken},
+       {"version", Change.Row.Version}});
+}
+
+TableImage StoreSync::image(StoreTable Table) const {
+  return Table == StoreTable::Operator ? OperatorFeed.Follower.table().image()
+                                       : WorkerFeed.Follower.table().image();
+}
+
+TableProgress StoreSync::progress() const {
+  return {OperatorFeed.LastChange, WorkerFeed.LastChange};
+}
+
+bool StoreSync::isConnected() const {
+  return OperatorFeed.Follower.isConnected() &&
+         WorkerFeed.Follower.isConnected();
+}
+
+void StoreSync::peerProgressed(const MemberRecord &Peer,
+                               PeerExchange &Exchange) {
+  if (Peer.ConfigVersion > OperatorFeed.LastChange)
+    fetchFrom(OperatorFeed, Peer, Exchange);
+  if (Peer.Epoch > WorkerFeed.LastChange)
+    fetchFrom(WorkerFeed, Peer, Exchange);
+}
+
+void StoreSync::fetchFrom(Feed &Of, const MemberRecord &Peer,
+                          PeerExchange &Exchange) {
+  if (Of.Fetching || Stopped)
+    return;
+  Of.Fetching = true;
+  auto Delay = std::make_shared<boost::asio::steady_timer>(State.Io);
+  // A host that the store turns away has nothing to wait for.
+  Delay->expires_after(Of.Follower.isConnected()
+                           ? std::chrono::milliseconds(PeerDelay)
+                           : std::chrono::milliseconds(0));
+  const std::uint64_t Wanted =
+      Of.Table == StoreTable::Operator ? Peer.ConfigVersion : Peer.Epoch;
+  const Endpoint Address{Peer.Host.Address, Peer.Host.AdminPort};
+  Delay->async_wait([this, &Of, &Exchange, Wanted, Address, Delay,
+                     Keep = Alive](boost::system::error_code) {
+    if (!*Keep || Stopped)
+      return;
+    if (Of.LastChange >= Wanted) {
+      Of.Fetching = false;
+      return;
+    }
+    Exchange.fetch(Address, Of.Table,
+                   [this, &Of, Wanted, Keep](std::optional<TableImage> Image) {
+                     if (!*Keep)
+                       return;
+                     Of.Fetching = false;
+                     if (!Image)
+                       return;
+                     settled(Of, Of.Follower.peerImage(*Image), "peer");
+                     Of.LastChange = std::max(Of.LastChange, Wanted);
+                   });
+  });
+}
+
+} // namespace masticgap::gateway
--- /dev/null
+++ b/src/masticgap/coordination/affinity/worker_record.cpp
@@ -0,0 +1,103 @@
+#include "masticgap/coordination/affinity/worker_record.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace masticgap::coordination {
+
+namespace {
+
+//! Reports of the load of others lose their value with this time constant,
+//! which is a few service times.
+constexpr std::chrono::duration<double> ReportLife{1.5};
+//! Evidence of slowness and failures fades with these time constants.
+constexpr std::chrono::duration<double> SlowLife{4.0};
+constexpr std::chrono::duration<double> FailureLife{4.0};
+//! Weight of a new latency in the moving average.
+constexpr double SlowWeight = 0.35;
+//! One very slow answer counts at most this much.
+constexpr double MaxSlowness = 12;
+//! Pauses of an unreachable worker grow from the first to the second.
+constexpr Duration FirstEjection = std::chrono::milliseconds(400);
+constexpr Duration MaxEjection = std::chrono::seconds(2);
+
+double fade(Duration Age, std::chrono::duration<double> Life) {
+  const std::chrono::duration<double> Seconds = Age;
+  return std::exp(-std::max(0.0, Seconds / Life));
+}
+
+} // namespace
+
+void WorkerRecord::sent(Instant) {
+  ++InFlight;
+  Used = true;
+}
+
+void WorkerRecord::released() {
+  if (InFlight > 0)
+    --InFlight;
+}
+
+void WorkerRecord::answered(Duration Latency, Duration Typical, Instant Now) {
+  Unreachable = 0;
+  EjectedUntil = Now;
+  const double Ratio = Typical > Duration(0)
+                           ? std::chrono::duration<double>(Latency) / Typical
+                           : 1.0;
+  const double Before = slowness(Now);
+  Slow = std::clamp(Before + SlowWeight * (Ratio - Before), 0.3, MaxSlowness);
+  SlowAt = Now;
+  const double Left = fade(Now - FailedAt, FailureLife);
+  Failures *= Left;
+  Tries = Tries * Left + 1;
+  FailedAt = Now;
+}
+
+void WorkerRecord::reported(const QueueReport &Report, Instant Now) {
+  const double Busy = Report.Running + Report.Waiting;
+  OthersBusy = std::max(0.0, Busy - InFlight);
+  ReportedAt = Now;
+}
+
+void WorkerRecord::refusedFull(unsigned Slots, Instant Now) {
+  // A full worker has at least all slots and a queue as long in use.
+  OthersBusy = std::max(OthersBusy, 2.0 * Slots);
+  ReportedAt = Now;
+  Unreachable = 0;
+  const double Left = fade(Now - FailedAt, FailureLife);
+  Failures = Failures * Left + 0.5;
+  Tries = Tries * Left + 1;
+  FailedAt = Now;
+}
+
+void WorkerRecord::failed(Instant Now) {
+  const double Left = fade(Now - FailedAt, FailureLife);
+  Failures = Failures * Left + 1;
+  Tries = Tries * Left + 1;
+  FailedAt = Now;
+}
+
+bool WorkerRecord::unreachable(Instant Now) {
+  const bool News = Unreachable == 0;
+  const Duration Pause =
+      std::min(MaxEjection, FirstEjection * (1 << std::min(Unreachable, 4U)));
+  ++Unreachable;
+  EjectedUntil = std::max(EjectedUntil, Now + Pause);
+  return News;
+}
+
+double WorkerRecord::occupancy(Instant Now) const {
+  return InFlight + OthersBusy * fade(Now - ReportedAt, ReportLife);
+}
+
+double WorkerRecord::failureShare(Instant Now) const {
+  const double Left = fade(Now - FailedAt, FailureLife);
+  // One success is assumed, so that a single failure is no certainty.
+  return Failures * Left / (Tries * Left + 1);
+}
+
+double WorkerRecord::slowness(Instant Now) const {
+  return 1 + (Slow - 1) * fade(Now - SlowAt, SlowLife);
+}
+
+} // namespace masticgap::coordination
--- a/src/masticgap/coordination/connection_health.hpp
+++ b/src/masticgap/coordination/connection_health.hpp
@@ -2,6 +2,8 @@
 
 #include "masticgap/state/time.hpp"
 
+#include <algorithm>
+
 namespace masticgap::coordination {
 
 //! What may be done with a pooled connection.
@@ -26,9 +28,14 @@
   //! A whole answer arrived.
   void answered(Instant Now) { LastProof = Now; }
 
+  //! The other side closes the connection after this idle time.
+  void limitIdle(Duration Longest) {
+    Limit = std::clamp(Longest, Duration(0), IdleLimit);
+  }
+
   ConnectionUse use(Instant Now) const {
     const Duration Age = Now - LastProof;
-    if (Age >= IdleLimit)
+    if (Age >= Limit)
       return ConnectionUse::Close;
     return Age >= ProofLimit ? ConnectionUse::RepeatableOnly
                              : ConnectionUse::Any;
@@ -36,6 +43,7 @@
 
 private:
   Instant LastProof;
+  Duration Limit = IdleLimit;
 };
 
 } // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/fleet_budget/cold_gate.cpp
@@ -0,0 +1,58 @@
+#include "masticgap/coordination/fleet_budget/cold_gate.hpp"
+
+#include "masticgap/coordination/affinity/affinity_choice.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace masticgap::coordination {
+
+namespace {
+
+//! Records older than this belong to an earlier cold phase.
+constexpr Duration Forget = std::chrono::seconds(60);
+//! Records in memory.
+constexpr std::size_t MaxRecords = 4096;
+
+std::uint64_t hostHash(const HostId &Id) {
+  return XXH3_64bits(Id.value().data(), Id.value().size());
+}
+
+} // namespace
+
+ColdGate::ColdGate(const HostId &Self) : Self(Self) {}
+
+bool ColdGate::mayUse(std::uint64_t Worker, double Rate,
+                      std::span<const HostId> Hosts, Instant Now) {
+  if (Rate <= 0)
+    return false;
+  const auto Allowed = static_cast<std::size_t>(std::max(1.0, Rate));
+  const std::uint64_t Own = mixHashes(Worker, hostHash(Self));
+  std::size_t Before = 0;
+  for (const HostId &Each : Hosts)
+    if (Each != Self && mixHashes(Worker, hostHash(Each)) > Own)
+      ++Before;
+  if (Before >= Allowed)
+    return false;
+  const double Senders = static_cast<double>(
+      std::min(Allowed, std::max<std::size_t>(1, Hosts.size())));
+  const auto Distance = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::max(0.5, Senders / Rate)));
+  auto Found = LastUse.find(Worker);
+  if (Found == LastUse.end()) {
+    if (LastUse.size() >= MaxRecords)
+      std::erase_if(LastUse, [&](const auto &Entry) {
+        return Entry.second + Forget < Now;
+      });
+    // A predecessor of this process may have sent just now.
+    Found = LastUse.emplace(Worker, Now - Distance / 2).first;
+  }
+  return Now - Found->second >= Distance;
+}
+
+void ColdGate::used(std::uint64_t Worker, Instant Now) {
+  LastUse[Worker] = Now;
+}
+
+} // namespace masticgap::coordination
--- a/src/masticgap/coordination/internal/membership_impl.hpp
+++ b/src/masticgap/coordination/internal/membership_impl.hpp
@@ -27,6 +27,7 @@
   void spread(const Rumor &What, Instant Now);
   void planLeave();
   void leave(Instant Now);
+  void addSeeds(std::span<const Endpoint> Seeds);
   void setProgress(std::uint64_t ConfigVersion, std::uint64_t Epoch);
   std::size_t stateBytes() const;
 
--- a/src/masticgap/coordination/membership.cpp
+++ b/src/masticgap/coordination/membership.cpp
@@ -153,6 +153,12 @@
   Table.replaceSelf(Own);
 }
 
+void Membership::Impl::addSeeds(std::span<const Endpoint> Seeds) {
+  for (const Endpoint &Each : Seeds)
+    if (std::ranges::find(Settings.Seeds, Each) == Settings.Seeds.end())
+      Settings.Seeds.push_back(Each);
+}
+
 Instant Membership::Impl::nextDeadline() const {
   if (Stopped)
     return Instant::max();
@@ -216,6 +222,10 @@
   State->setProgress(ConfigVersion, Epoch);
 }
 
+void Membership::addSeeds(std::span<const Endpoint> Seeds) {
+  State->addSeeds(Seeds);
+}
+
 std::span<const MemberRecord> Membership::members() const {
   return State->table().all();
 }
--- a/src/masticgap/coordination/membership.hpp
+++ b/src/masticgap/coordination/membership.hpp
@@ -44,6 +44,9 @@
   //! than the current ones are ignored.
   void setProgress(std::uint64_t ConfigVersion, std::uint64_t Epoch);
 
+  //! Adds gossip endpoints that are probed until their hosts are known.
+  void addSeeds(std::span<const Endpoint> Seeds);
+
   //! All known members by host id: this one, live, dead and left ones.
   std::span<const MemberRecord> members() const;
 
--- /dev/null
+++ b/src/masticgap/coordination/replica/replicated_table.cpp
@@ -0,0 +1,66 @@
+#include "masticgap/coordination/replica/replicated_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticgap::coordination {
+
+namespace {
+
+//! Tombstones kept, in rows; the oldest go first.
+constexpr std::size_t MaxTombstones = 4096;
+
+} // namespace
+
+std::vector<RowChange> ReplicatedTable::replace(const TableImage &Image) {
+  if (Loaded && Image.Version < Version)
+    return {};
+  std::map<std::string, const TableRow *> Given;
+  std::vector<RowChange> Changes;
+  for (const TableRow &Row : Image.Rows) {
+    Given.emplace(Row.Key, &Row);
+    Changes.push_back({Row, false});
+  }
+  for (const auto &[Key, Row] : Rows)
+    if (!Given.contains(Key))
+      Changes.push_back({{Key, {}, Image.Version}, true});
+  Loaded = true;
+  return apply(Changes, Image.Version);
+}
+
+std::vector<RowChange>
+ReplicatedTable::apply(std::span<const RowChange> Changes,
+                       std::uint64_t NewVersion) {
+  std::vector<RowChange> News;
+  for (const RowChange &Each : Changes) {
+    const auto Known = Rows.find(Each.Row.Key);
+    const auto Gone = Tombstones.find(Each.Row.Key);
+    const bool Older =
+        (Known != Rows.end() && Each.Row.Version <= Known->second.Version) ||
+        (Gone != Tombstones.end() && Each.Row.Version <= Gone->second);
+    if (Older || (Each.Removed && Known == Rows.end()))
+      continue;
+    if (Each.Removed) {
+      Rows.erase(Known);
+      Tombstones[Each.Row.Key] = Each.Row.Version;
+    } else {
+      Rows[Each.Row.Key] = Each.Row;
+    }
+    News.push_back(Each);
+  }
+  while (Tombstones.size() > MaxTombstones)
+    Tombstones.erase(std::ranges::min_element(
+        Tombstones, {}, [](const auto &Entry) { return Entry.second; }));
+  Version = std::max(Version, NewVersion);
+  return News;
+}
+
+TableImage ReplicatedTable::image() const {
+  TableImage Image;
+  Image.Version = Version;
+  for (const auto &[Key, Row] : Rows)
+    Image.Rows.push_back(Row);
+  return Image;
+}
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/replica/replicated_table.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace masticgap::coordination {
+
+//! One row of a table that is kept elsewhere.
+struct TableRow {
+  std::string Key;
+  std::string Value;
+  std::uint64_t Version = 0; //!< Version of the last write to the row.
+
+  friend bool operator==(const TableRow &, const TableRow &) = default;
+};
+
+//! A row that was written or removed.
+struct RowChange {
+  TableRow Row;
+  bool Removed = false;
+
+  friend bool operator==(const RowChange &, const RowChange &) = default;
+};
+
+//! All rows of a table as of one version.
+struct TableImage {
+  std::vector<TableRow> Rows;
+  std::uint64_t Version = 0;
+
+  friend bool operator==(const TableImage &, const TableImage &) = default;
+};
+
+//! Local copy of a table. It takes images and changes from any source in any
+//! order, and never goes back to an older version.
+class ReplicatedTable {
+public:
+  //! Takes a whole image of the table.
+  //! \returns the rows that differ; nothing when the image is older than the
+  //! copy.
+  std::vector<RowChange> replace(const TableImage &Image);
+
+  //! Takes changes that lead up to a version.
+  //! \returns the changes that were news.
+  std::vector<RowChange> apply(std::span<const RowChange> Changes,
+                               std::uint64_t Version);
+
+  //! Version that the copy reflects; 0 before the first image.
+  std::uint64_t version() const { return Version; }
+  bool isLoaded() const { return Loaded; }
+  //! The copy as an image, for a peer.
+  TableImage image() const;
+
+private:
+  std::map<std::string, TableRow> Rows;
+  //! Versions at which rows were removed, so that older writes of them that
+  //! arrive late are recognised.
+  std::map<std::string, std::uint64_t> Tombstones;
+  std::uint64_t Version = 0;
+  bool Loaded = false;
+};
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/replica/table_follower.cpp
@@ -0,0 +1,69 @@
+#include "masticgap/coordination/replica/table_follower.hpp"
+
+#include <algorithm>
+
+namespace masticgap::coordination {
+
+FollowerCall TableFollower::nextCall(Instant Now) {
+  if (Now < NotBefore)
+    return PauseUntil{NotBefore};
+  if (MustRead || !Copy.isLoaded())
+    return ReadTable{};
+  std::uniform_real_distribution<double> Spread(0.7, 1.0);
+  const auto Wait =
+      std::chrono::duration_cast<Duration>(Timing.FeedWait * Spread(Random));
+  return AwaitChanges{Copy.version(), Wait};
+}
+
+void TableFollower::answered(Instant Now) {
+  if (Failures > 0)
+    Reconnected = Now;
+  Failures = 0;
+  AnsweredOnce = true;
+  NotBefore = Now + Timing.FeedGap;
+}
+
+std::vector<RowChange> TableFollower::readDone(const TableImage &Image,
+                                               Instant Now) {
+  const bool Stale = Copy.isLoaded() && Image.Version < Copy.version();
+  answered(Now);
+  // A replica that lags may answer; the read is repeated until it caught up.
+  MustRead = Stale;
+  if (Stale) {
+    NotBefore = Now + Timing.FirstBackoff;
+    return {};
+  }
+  return Copy.replace(Image);
+}
+
+std::vector<RowChange>
+TableFollower::changesDone(std::span<const RowChange> Changes,
+                           std::uint64_t Version, Instant Now) {
+  answered(Now);
+  GoneInRow = 0;
+  return Copy.apply(Changes, Version);
+}
+
+void TableFollower::failed(StoreFailure Why, Instant Now) {
+  if (Why == StoreFailure::HistoryGone) {
+    answered(Now);
+    // A second one without changes in between means that the read was behind
+    // the history; the next read waits, so that there is no tight loop.
+    NotBefore = GoneInRow > 0 ? Now + Timing.FirstBackoff : Now;
+    ++GoneInRow;
+    MustRead = true;
+    return;
+  }
+  const auto Longest = std::min(
+      Timing.MaxBackoff, Timing.FirstBackoff * (1 << std::min(Failures, 6U)));
+  std::uniform_real_distribution<double> Jitter(0.5, 1.0);
+  NotBefore =
+      Now + std::chrono::duration_cast<Duration>(Longest * Jitter(Random));
+  ++Failures;
+}
+
+std::vector<RowChange> TableFollower::peerImage(const TableImage &Image) {
+  return Copy.replace(Image);
+}
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/replica/table_follower.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "masticgap/coordination/replica/replicated_table.hpp"
+#include "masticgap/state/time.hpp"
+
+#include <cstdint>
+#include <random>
+#include <variant>
+#include <vector>
+
+namespace masticgap::coordination {
+
+//! Read the whole table.
+struct ReadTable {
+  friend bool operator==(const ReadTable &, const ReadTable &) = default;
+};
+//! Wait for changes after a version.
+struct AwaitChanges {
+  std::uint64_t After = 0;
+  Duration LongestWait{0};
+  friend bool operator==(const AwaitChanges &, const AwaitChanges &) = default;
+};
+//! Call nextCall() again at that time.
+struct PauseUntil {
+  Instant Time;
+  friend bool operator==(const PauseUntil &, const PauseUntil &) = default;
+};
+using FollowerCall = std::variant<ReadTable, AwaitChanges, PauseUntil>;
+
+//! Why a call to the store gave no answer that can be used.
+enum class StoreFailure {
+  Unavailable, //!< No connection, no answer, or the store refused the call.
+  HistoryGone  //!< The requested changes are not kept any more.
+};
+
+//! Limits of TableFollower.
+struct FollowerTiming {
+  //! Longest wait of one call for changes. Hosts are out of step, and gossip
+  //! tells the others, so the fleet notices a silent connection much sooner.
+  Duration FeedWait = std::chrono::seconds(10);
+  //! Gap after an answer, in which further changes gather for one call.
+  Duration FeedGap = std::chrono::milliseconds(60);
+  //! Pauses after failures grow from the first to the second, with jitter.
+  Duration FirstBackoff = std::chrono::milliseconds(250);
+  Duration MaxBackoff = std::chrono::seconds(2);
+};
+
+//! Decides which call keeps a copy of a table up to date. It does no I/O: the
+//! owner makes the call of nextCall() and reports how it ended.
+class TableFollower {
+public:
+  TableFollower(FollowerTiming Timing, std::uint64_t Seed)
+      : Timing(Timing), Random(Seed) {}
+
+  //! Call to make now; a PauseUntil when there is none.
+  FollowerCall nextCall(Instant Now);
+
+  std::vector<RowChange> readDone(const TableImage &Image, Instant Now);
+  std::vector<RowChange> changesDone(std::span<const RowChange> Changes,
+                                     std::uint64_t Version, Instant Now);
+  void failed(StoreFailure Why, Instant Now);
+  //! An image that a peer holds. The own calls go on as before.
+  std::vector<RowChange> peerImage(const TableImage &Image);
+
+  const ReplicatedTable &table() const { return Copy; }
+  //! Whether the last call was answered.
+  bool isConnected() const { return Failures == 0 && AnsweredOnce; }
+  //! Last time at which an answer ended a series of failures.
+  Instant reconnectedAt() const { return Reconnected; }
+
+private:
+  void answered(Instant Now);
+
+  FollowerTiming Timing;
+  std::mt19937_64 Random;
+  ReplicatedTable Copy;
+  bool MustRead = true;
+  bool AnsweredOnce = false;
+  unsigned Failures = 0;
+  unsigned GoneInRow = 0;
+  Instant NotBefore;
+  Instant Reconnected;
+};
+
+} // namespace masticgap::coordination
--- a/src/masticgap/transport/gossip_node.cpp
+++ b/src/masticgap/transport/gossip_node.cpp
@@ -306,6 +306,10 @@
       State->member().handle(MembersLearned{std::move(Records)}, State->now()));
 }
 
+void GossipNode::addSeeds(std::span<const Endpoint> Seeds) {
+  State->member().addSeeds(Seeds);
+}
+
 std::span<const MemberRecord> GossipNode::members() const {
   return State->member().members();
 }
--- a/src/masticgap/transport/gossip_node.hpp
+++ b/src/masticgap/transport/gossip_node.hpp
@@ -76,6 +76,9 @@
   //! Merges records that were read from GET /peer/members.
   void learn(std::vector<coordination::MemberRecord> Records);
 
+  //! Adds gossip endpoints that are probed until their hosts are known.
+  void addSeeds(std::span<const Endpoint> Seeds);
+
   //! All known members, see Membership::members.
   std::span<const coordination::MemberRecord> members() const;
 
--- a/src/masticgap/transport/http_fetch.cpp
+++ b/src/masticgap/transport/http_fetch.cpp
@@ -1,5 +1,7 @@
 #include "masticgap/transport/http_fetch.hpp"
 
+#include "masticgap/transport/dead_peer_detection.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -48,6 +50,7 @@
       return finish(Failure);
     beast::error_code Ignored;
     Stream.socket().set_option(Tcp::no_delay(true), Ignored);
+    detectDeadPeer(Stream.socket());
     http::async_write(
         Stream, Request,
         [Self = shared_from_this()](beast::error_code Error, std::size_t) {
--- a/src/entry/internal/settings_reader.cpp
+++ b/src/masticgap/transport/settings_reader.cpp
@@ -1,11 +1,11 @@
-#include "entry/internal/settings_reader.hpp"
+#include "masticgap/transport/settings_reader.hpp"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <charconv>
 
-namespace masticgap::entry::internal {
+namespace masticgap::transport {
 
 namespace json = boost::json;
 
@@ -126,6 +126,94 @@
   return Number;
 }
 
+std::chrono::milliseconds
+SettingsReader::duration(std::string_view Key, std::uint64_t Least,
+                         std::uint64_t Most,
+                         std::chrono::milliseconds Default) {
+  const json::value *Value = find(Key);
+  if (!Value || !Value->is_string())
+    return time(Key, Least, Most, Default);
+  const auto Parsed = parseDuration(view(Value->as_string()));
+  if (Parsed) {
+    const auto Whole =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*Parsed);
+    const auto Count = static_cast<std::uint64_t>(Whole.count());
+    if (Count >= Least && Count <= Most)
+      return Whole;
+  }
+  reject(Key, *Value,
+         "set it to milliseconds or a text such as \"2.5s\", from " +
+             std::to_string(Least) + " to " + std::to_string(Most) + " ms");
+  return Default;
+}
+
+double SettingsReader::decimal(std::string_view Key, double Least, double Most,
+                               double Default) {
+  const json::value *Value = find(Key);
+  if (!Value)
+    return Default;
+  json::error_code Failure;
+  const double Number = Value->to_number<double>(Failure);
+  if (Failure || Number < Least || Number > Most) {
+    reject(Key, *Value,
+           "set it to a number from " + std::to_string(Least) + " to " +
+               std::to_string(Most));
+    return Default;
+  }
+  return Number;
+}
+
+bool SettingsReader::flag(std::string_view Key, bool Default) {
+  const json::value *Value = find(Key);
+  if (!Value)
+    return Default;
+  if (!Value->is_bool()) {
+    reject(Key, *Value, "set it to true or false");
+    return Default;
+  }
+  return Value->as_bool();
+}
+
+std::map<std::string, std::string> SettingsReader::texts(std::string_view Key) {
+  std::map<std::string, std::string> Found;
+  const json::value *Value = find(Key);
+  if (!Value) {
+    report("setting \"" + std::string(Key) + "\" is missing",
+           "add it to the settings file");
+    return Found;
+  }
+  if (!Value->is_object()) {
+    reject(Key, *Value, "set it to an object whose values are texts");
+    return Found;
+  }
+  for (const auto &Member : Value->as_object()) {
+    if (!Member.value().is_string()) {
+      reject(Key, *Value, "set it to an object whose values are texts");
+      continue;
+    }
+    Found.emplace(std::string(Member.key()),
+                  std::string(view(Member.value().as_string())));
+  }
+  return Found;
+}
+
+std::optional<std::chrono::nanoseconds> parseDuration(std::string_view Text) {
+  double Count = 0;
+  const auto [End, Failure] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Count);
+  if (Failure != std::errc() || Count < 0)
+    return std::nullopt;
+  const std::string_view Unit = Text.substr(End - Text.data());
+  std::chrono::duration<double> Seconds{0};
+  if (Unit == "ms")
+    Seconds = std::chrono::duration<double, std::milli>(Count);
+  else if (Unit == "s")
+    Seconds = std::chrono::duration<double>(Count);
+  else
+    return std::nullopt;
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds);
+}
+
 std::optional<Error> SettingsReader::finish() {
   for (const auto &Member : Object) {
     const std::string_view Key(Member.key().data(), Member.key().size());
@@ -138,4 +226,4 @@
   return Problem;
 }
 
-} // namespace masticgap::entry::internal
+} // namespace masticgap::transport
--- a/src/entry/internal/settings_reader.hpp
+++ b/src/masticgap/transport/settings_reader.hpp
@@ -7,13 +7,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace masticgap::entry::internal {
+namespace masticgap::transport {
 
 //! Reads the keys of a JSON object and keeps the first problem that it meets.
 class SettingsReader {
@@ -42,6 +43,17 @@
         integer(Key, Least, Most, static_cast<std::uint64_t>(Default.count())));
   }
 
+  //! Optional time as milliseconds, or as text with the unit "ms" or "s".
+  std::chrono::milliseconds duration(std::string_view Key, std::uint64_t Least,
+                                     std::uint64_t Most,
+                                     std::chrono::milliseconds Default);
+  //! Optional number with a fraction.
+  double decimal(std::string_view Key, double Least, double Most,
+                 double Default);
+  bool flag(std::string_view Key, bool Default);
+  //! Required object whose values are texts.
+  std::map<std::string, std::string> texts(std::string_view Key);
+
   //! First problem, unknown keys included; nothing if there is none.
   std::optional<Error> finish();
 
@@ -59,4 +71,8 @@
   std::optional<Error> Problem;
 };
 
-} // namespace masticgap::entry::internal
+//! Reads a duration such as "1500ms" or "2.5s".
+//! \returns nothing when the text is no such duration.
+std::optional<std::chrono::nanoseconds> parseDuration(std::string_view Text);
+
+} // namespace masticgap::transport
--- a/src/masticgap/transport/worker_connection_pool.cpp
+++ b/src/masticgap/transport/worker_connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "masticgap/transport/worker_connection_pool.hpp"
 
+#include "masticgap/transport/dead_peer_detection.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -177,6 +179,7 @@
     co_return Acquired(classifyConnect(ConnectFailure, Control));
   beast::error_code Ignored;
   Stream.socket().set_option(Tcp::no_delay(true), Ignored);
+  detectDeadPeer(Stream.socket());
   co_return Acquired(std::move(Fresh));
 }
 
--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -1,14 +1,18 @@
 #include "masticgap/transport/worker_exchange.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <utility>
 
 namespace masticgap::transport {
@@ -22,7 +26,39 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t MaxRefusalBytes = 1024;
-constexpr const char *RequestIdField = "Masticgap-Request-Id";
+//! Request bodies above this may not fit the buffers between the hosts, so the
+//! answer is read while they are sent: a worker may answer before it has read
+//! the body.
+constexpr std::size_t SmallBodyBytes = 1024;
+//! Answers to other requests that are skipped on one connection.
+constexpr int MaxForeignAnswers = 3;
+constexpr std::size_t ForeignBodyBytes = 64 * 1024;
+//! Time by which this side gives up an idle connection before the worker does.
+constexpr std::chrono::seconds IdleMargin{1};
+
+//! What a send that runs beside the reading tells.
+struct SendProgress {
+  bool Done = false;
+  beast::error_code Failure;
+};
+
+//! Idle time that the worker states in Keep-Alive, if it does.
+std::optional<std::chrono::seconds>
+statedIdleLimit(const http::response_header<> &Head) {
+  const auto Field = Head[http::field::keep_alive];
+  const std::string_view Text(Field.data(), Field.size());
+  constexpr std::string_view Name = "timeout=";
+  const std::size_t At = Text.find(Name);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  unsigned Seconds = 0;
+  const auto Digits = Text.substr(At + Name.size());
+  const auto [End, Failure] =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Seconds);
+  if (Failure != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
 
 } // namespace
 
@@ -63,14 +99,25 @@
   auto Ended = co_await open(std::move(Target), Control);
   if (Ended)
     co_return Ended;
+  KeptConnection = Lease->connection().Reused;
   Control.attach(&Lease->connection().Stream);
+  if (!Request.More && Request.Body.size() > SmallBodyBytes) {
+    Ended = co_await sendAndReadHead(Request, Control);
+    Control.detach();
+    if (Ended && coordination::provedNotRun(*Ended) && !SendPending)
+      co_await skipBody(Control);
+    if (Ended)
+      Lease.reset();
+    else if (Answer->is_done())
+      finish();
+    co_return Ended;
+  }
   const auto SendEnd = co_await send(Request, Control);
   const bool MayHaveAnswer =
       !SendEnd || (*SendEnd == End::ConnectionLost && !SourceFailed);
   if (MayHaveAnswer)
-    Ended = co_await readHead(HeadMethod, Control);
-  if (!Ended && MayHaveAnswer)
-    Ended = checkHead(Request.Head[RequestIdField]);
+    Ended = co_await readOwnHead(Request.Head[Options.Dialect->RequestIdField],
+                                 HeadMethod, Control);
   Control.detach();
   // A worker may refuse a large request before it read all of it. No other
   // answer counts when the request was not sent as a whole.
@@ -85,6 +132,69 @@
   co_return Ended;
 }
 
+asio::awaitable<std::optional<AttemptEnd>>
+WorkerExchange::sendAndReadHead(const OutgoingRequest &Request,
+                                AttemptControl &Control) {
+  limitTime();
+  // The copy outlives this exchange if the send is still pending at its end.
+  auto Message = std::make_shared<http::request<http::string_body>>(
+      http::request_header<>(Request.Head), std::string(Request.Body));
+  auto Progress = std::make_shared<SendProgress>();
+  SendPending = true;
+  Sent = Message->body().size();
+  http::async_write(
+      Lease->connection().Stream, *Message,
+      [Message, Progress](beast::error_code Failure, std::size_t) {
+        Progress->Done = true;
+        Progress->Failure = Failure;
+      });
+  const auto Ended =
+      co_await readOwnHead(Request.Head[Options.Dialect->RequestIdField],
+                           Request.Head.method() == http::verb::head, Control);
+  SendPending = !Progress->Done || Progress->Failure;
+  co_return Ended;
+}
+
+asio::awaitable<std::optional<AttemptEnd>>
+WorkerExchange::readOwnHead(std::string_view RequestId, bool HeadMethod,
+                            AttemptControl &Control) {
+  for (int Skipped = 0;; ++Skipped) {
+    const auto Failed = co_await readHead(HeadMethod, Control);
+    if (Failed)
+      co_return Failed;
+    const auto Echo = head()[Options.Dialect->RequestIdField];
+    const bool Foreign =
+        !Echo.empty() &&
+        std::string_view(Echo.data(), Echo.size()) != RequestId;
+    if (!Foreign || !Options.Dialect->SkipsForeignAnswers ||
+        Skipped == MaxForeignAnswers)
+      co_return checkHead(RequestId);
+    const bool Whole = co_await skipForeignAnswer(Control);
+    if (!Whole)
+      co_return End::ConnectionLost;
+  }
+}
+
+asio::awaitable<bool>
+WorkerExchange::skipForeignAnswer(AttemptControl &Control) {
+  if (Answer->need_eof())
+    co_return false;
+  std::vector<char> Unused(ForeignBodyBytes);
+  while (!Answer->is_done()) {
+    auto &Body = Answer->get().body();
+    Body.data = Unused.data();
+    Body.size = Unused.size();
+    limitTime();
+    const auto [Error, Bytes] = co_await http::async_read_some(
+        Lease->connection().Stream, Lease->connection().Buffer, *Answer,
+        AsTuple);
+    Received += Bytes;
+    if ((Error && Error != http::error::need_buffer) || Control.isCancelled())
+      co_return false;
+  }
+  co_return true;
+}
+
 asio::awaitable<void> WorkerExchange::skipBody(AttemptControl &Control) {
   // Refusals are frequent near full load and have short bodies. Reading them
   // keeps the connection usable.
@@ -186,18 +296,16 @@
 std::optional<AttemptEnd>
 WorkerExchange::checkHead(std::string_view RequestId) const {
   const auto &Head = Answer->get().base();
-  const auto Refused = Head["Worker-Refused"];
-  if (Head.result() == http::status::service_unavailable && Refused == "full")
-    return End::RefusedFull;
-  if (Head.result() == http::status::service_unavailable &&
-      Refused == "leaving")
-    return End::RefusedLeaving;
   // An echoed id of another request proves that this answer belongs to that
   // request.
-  const auto Echo = Head[RequestIdField];
+  const auto Echo = Head[Options.Dialect->RequestIdField];
   const std::string_view EchoText(Echo.data(), Echo.size());
   if (!EchoText.empty() && EchoText != RequestId)
     return End::ConnectionLost;
+  if (const auto Refusal = Options.Dialect->Refusal(Head))
+    return Refusal;
+  if (Options.Dialect->UnframedAnswers)
+    return std::nullopt;
   // Without a length the end of the answer is the end of the connection, which
   // cannot be told from a broken connection.
   if (Answer->need_eof())
@@ -235,8 +343,11 @@
 
 void WorkerExchange::finish() {
   Done = true;
-  const bool Reusable =
-      Answer->get().keep_alive() && Lease->connection().Buffer.size() == 0;
+  const bool Reusable = Answer->get().keep_alive() && !SendPending &&
+                        !Answer->need_eof() &&
+                        Lease->connection().Buffer.size() == 0;
+  if (const auto Stated = statedIdleLimit(head()))
+    Lease->connection().Health.limitIdle(*Stated - IdleMargin);
   if (Reusable)
     Lease->keep(Clock());
   Lease.reset();
--- a/src/masticgap/transport/worker_exchange.hpp
+++ b/src/masticgap/transport/worker_exchange.hpp
@@ -4,6 +4,7 @@
 #include "masticgap/state/time.hpp"
 #include "masticgap/transport/attempt_control.hpp"
 #include "masticgap/transport/worker_connection_pool.hpp"
+#include "masticgap/transport/worker_dialect.hpp"
 #include "masticgap/transport/worker_target.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -14,6 +15,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -45,6 +47,8 @@
   std::chrono::nanoseconds ConnectTimeout{};
   //! Most bytes that are read from the connection at once.
   std::size_t ReadUnit = 64 * 1024;
+  //! Marks of the worker's answers; has to outlive the exchange.
+  const WorkerDialect *Dialect = &ownWorkerDialect();
 };
 
 //! One request and its answer on a worker connection. The connection goes back
@@ -85,6 +89,9 @@
   std::uint64_t bytesReceived() const { return Received; }
   //! Bytes of the request that left.
   std::uint64_t bytesSent() const { return Sent; }
+  //! Whether the connection was established and the request began to leave on
+  //! one that had carried another request.
+  bool usedKeptConnection() const { return KeptConnection; }
   //! The attempt failed because this host has no connection to spare.
   bool limitReached() const { return LimitReached; }
 
@@ -101,6 +108,12 @@
   sendBuffered(const OutgoingRequest &Request);
   boost::asio::awaitable<boost::system::error_code>
   sendStreamed(const OutgoingRequest &Request);
+  boost::asio::awaitable<std::optional<End>>
+  sendAndReadHead(const OutgoingRequest &Request, AttemptControl &Control);
+  boost::asio::awaitable<std::optional<End>>
+  readOwnHead(std::string_view RequestId, bool HeadMethod,
+              AttemptControl &Control);
+  boost::asio::awaitable<bool> skipForeignAnswer(AttemptControl &Control);
   boost::asio::awaitable<std::optional<End>> readHead(bool HeadMethod,
                                                       AttemptControl &Control);
   boost::asio::awaitable<void> skipBody(AttemptControl &Control);
@@ -121,6 +134,10 @@
   bool Done = false;
   bool LimitReached = false;
   bool SourceFailed = false;
+  bool KeptConnection = false;
+  //! The request has not left as a whole, so the connection cannot carry
+  //! another one.
+  bool SendPending = false;
 };
 
 } // namespace masticgap::transport
