Take a reset connection as a sign of load, not of a restart

Cause: a worker with a long queue accepts a connection and resets it; the dispatcher ejected it and took it as cold for its cold phase, which moves its load to the others.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -256,7 +256,7 @@
   if (Left)
     ++Arrivals;
   if (Early)
-    co_return afterFailure(*Early, Pick, Sent, Left);
+    co_return afterFailure({*Early, Exchange.connected(), Left}, Pick, Sent);
   co_return co_await receive(Exchange, Pick, Sent);
 }
 
@@ -270,11 +270,11 @@
   Answer.Head = Exchange.head();
   const auto Failed = co_await collect(Exchange, Answer);
   if (Failed)
-    co_return afterFailure(*Failed, Pick, Sent, true);
+    co_return afterFailure({*Failed}, Pick, Sent);
   if (Answer.Whole)
     co_return co_await judge(std::move(Answer), Pick, Sent);
   if (!looksGenuine(Answer) || promisesNotRun(Answer.Head.result_int()))
-    co_return afterFailure(AttemptEnd::Truncated, Pick, Sent, true);
+    co_return afterFailure({AttemptEnd::Truncated}, Pick, Sent);
   Step Next = co_await stream(Exchange, Answer);
   State.Dispatch.ended(Pick,
                        std::holds_alternative<Delivered>(Next)
@@ -339,7 +339,7 @@
   const bool Genuine = looksGenuine(Answer);
   const bool Usable = Genuine && !promisesNotRun(Status);
   if (!Usable)
-    co_return afterFailure(AttemptEnd::Truncated, Pick, Sent, true);
+    co_return afterFailure({AttemptEnd::Truncated}, Pick, Sent);
   const Instant Now = State.now();
   const bool Failed = Status >= 500;
   State.Dispatch.ended(Pick,
@@ -392,19 +392,19 @@
   return refused(std::string(Reason), std::max(Typical, Pick.Wait));
 }
 
-RequestFlow::Step RequestFlow::afterFailure(AttemptEnd End,
+RequestFlow::Step RequestFlow::afterFailure(const Failure &How,
                                             const WorkerPick &Pick,
-                                            Instant Sent, bool Left) {
+                                            Instant Sent) {
   const Instant Now = State.now();
   const auto Tell = [&](WorkerVerdict Verdict) {
     State.Dispatch.ended(Pick, Verdict, Now - Sent, Now);
   };
-  logAttempt(Pick, name(End), Sent);
+  logAttempt(Pick, name(How.End), Sent);
   if (Control.isCancelled()) {
     Tell(WorkerVerdict::Abandoned);
     return Abandoned{};
   }
-  switch (End) {
+  switch (How.End) {
   case AttemptEnd::RefusedFull:
     Tell(WorkerVerdict::RefusedFull);
     return afterRefusal(Pick, "worker_full");
@@ -412,27 +412,26 @@
     Tell(WorkerVerdict::Misdirected);
     return afterRefusal(Pick, "worker_gone");
   case AttemptEnd::ConnectFailed:
-    Tell(WorkerVerdict::Unreachable);
+    // A worker with a long queue resets connections that it accepted; only one
+    // that accepts none may be gone.
+    Tell(How.Connected ? WorkerVerdict::RefusedFull
+                       : WorkerVerdict::Unreachable);
     if (mayRetry(false))
       return TryAgain{};
     if (MayHaveRun)
-      return lost(End);
+      return lost(How.End);
     return refused("no_connection", State.Dispatch.typical(Service));
   case AttemptEnd::TimedOut:
     Tell(WorkerVerdict::TimedOut);
     break;
-  case AttemptEnd::ConnectionLost:
-    // The worker's process may be gone with the connection.
-    Tell(WorkerVerdict::Unreachable);
-    break;
   default:
     Tell(WorkerVerdict::Broken);
     break;
   }
-  MayHaveRun = MayHaveRun || Left;
+  MayHaveRun = MayHaveRun || How.Left;
   if (Way->Idempotent && mayRetry(true))
     return TryAgain{};
-  return lost(End);
+  return lost(How.End);
 }
 
 OwnAnswer RequestFlow::lost(AttemptEnd End) const {
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -79,9 +79,14 @@
                                       HeldAnswer &Begun);
   boost::asio::awaitable<Step>
   judge(HeldAnswer Answer, const coordination::WorkerPick &Pick, Instant Sent);
-  Step afterFailure(coordination::AttemptEnd End,
-                    const coordination::WorkerPick &Pick, Instant Sent,
-                    bool Left);
+  //! What is known of an attempt that brought no usable answer.
+  struct Failure {
+    coordination::AttemptEnd End = coordination::AttemptEnd::ConnectFailed;
+    bool Connected = true; //!< A process accepted the connection.
+    bool Left = true;      //!< Bytes of the request left.
+  };
+  Step afterFailure(const Failure &How, const coordination::WorkerPick &Pick,
+                    Instant Sent);
   Step afterRefusal(const coordination::WorkerPick &Pick,
                     std::string_view Reason);
   bool mayRetry(bool Arrived);
--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -99,7 +99,7 @@
   auto Ended = co_await open(std::move(Target), Control);
   if (Ended)
     co_return Ended;
-  KeptConnection = Lease->connection().Reused;
+  Connected = true;
   Control.attach(&Lease->connection().Stream);
   if (!Request.More && Request.Body.size() > SmallBodyBytes) {
     Ended = co_await sendAndReadHead(Request, Control);
--- a/src/masticgap/transport/worker_exchange.hpp
+++ b/src/masticgap/transport/worker_exchange.hpp
@@ -89,9 +89,8 @@
   std::uint64_t bytesReceived() const { return Received; }
   //! Bytes of the request that left.
   std::uint64_t bytesSent() const { return Sent; }
-  //! Whether the connection was established and the request began to leave on
-  //! one that had carried another request.
-  bool usedKeptConnection() const { return KeptConnection; }
+  //! Whether a connection was established, so that a process listens there.
+  bool connected() const { return Connected; }
   //! The attempt failed because this host has no connection to spare.
   bool limitReached() const { return LimitReached; }
 
@@ -134,7 +133,7 @@
   bool Done = false;
   bool LimitReached = false;
   bool SourceFailed = false;
-  bool KeptConnection = false;
+  bool Connected = false;
   //! The request has not left as a whole, so the connection cannot carry
   //! another one.
   bool SendPending = false;
