Keep each object on one home worker

Cause: a run without the object in the worker's memory takes about three times as long; a second home doubles the number of such runs, and a busy home is passed over by its queue anyway.

--- a/src/masticgap/coordination/affinity/affinity_choice.hpp
+++ b/src/masticgap/coordination/affinity/affinity_choice.hpp
@@ -26,7 +26,7 @@
 struct AffinityPolicy {
   //! Workers that keep one object warm. Several of them share the load of a
   //! popular object; each one more costs memory of the workers.
-  std::size_t Homes = 2;
+  std::size_t Homes = 1;
   //! A worker that has not seen the object lately takes about three times as
   //! long, two typical latencies more.
   double NotHomePenalty = 2.0;
