Read the store with one host of each failure domain

Change: a reader for each failure domain follows the store, the other hosts wait for changes at it; a reader that fails, freezes or loses the store is passed over and the store asked instead. The table of hosts is read only by a host that gossip left alone. Ruled out: longer gaps between calls, which would delay leaving workers.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_daemon.hpp"
 
 #include "masticgap/coordination/fleet/lookup_hosts.hpp"
+#include "masticgap/coordination/replica/feed_source.hpp"
 #include "masticgap/state/captured.hpp"
 #include "masticgap/transport/boot_clock.hpp"
 #include "masticgap/transport/http_types.hpp"
@@ -26,8 +27,10 @@
 constexpr std::chrono::milliseconds TickPeriod{500};
 //! Time before the end of the grace period at which the process ends itself.
 constexpr std::chrono::milliseconds StopReserve{400};
-//! Wait before the write of the own address is tried again.
-constexpr std::chrono::seconds AnnounceRetry{5};
+//! Time that gossip has to join through the seeds before the store is used.
+constexpr std::chrono::seconds JoinDelay{2};
+//! Wait before the store is used for joining again.
+constexpr std::chrono::seconds JoinRetry{5};
 //! Suspicion of a member before it counts as dead, in gossip periods.
 constexpr int SuspicionPeriods = 3;
 //! Buffers of the gossip socket: a few hundred datagrams.
@@ -63,7 +66,8 @@
       Reload(std::move(Loader)), Seed(drawSeed()),
       Run(makeIncarnation(transport::unixMilliseconds(),
                           static_cast<std::uint16_t>(Seed))),
-      Started(transport::now()), State(Io, Settings, Port.Wire, Seed),
+      Started(transport::now()), NextJoin(Started + JoinDelay),
+      State(Io, Settings, Port.Wire, Seed),
       Sync(State, Port, [this] { announceProgress(); }),
       Servers(std::make_unique<Ports>()), TickTimer(Io), StopTimer(Io) {}
 
@@ -100,7 +104,7 @@
         });
     Servers->Peers = std::make_unique<PeerExchange>(
         Io, Endpoint{Address, Settings.PeerPort},
-        [this](StoreTable Table) { return Sync.image(Table); });
+        [this](const PeerQuestion &Question) { return Sync.update(Question); });
     if (Settings.MetricsPort != 0)
       Servers->Metrics = std::make_unique<transport::HttpServer>(
           Io, Endpoint{Address, Settings.MetricsPort}, smallServerLimits(),
@@ -121,8 +125,9 @@
                    {"domain", Settings.Domain.value()},
                    {"run", Run.Value},
                    {"traffic_port", unsigned{Settings.Traffic.Port}}});
-  Sync.start();
-  announceHost();
+  Sync.start(*Servers->Peers, [this] {
+    return Gossip ? Gossip->members() : std::span<const MemberRecord>();
+  });
   armTick();
   return {};
 }
@@ -151,7 +156,7 @@
   };
   Callbacks.MemberProgressed = [this](const MemberRecord &Peer) {
     if (Peer.Host.Id != Settings.Host)
-      Sync.peerProgressed(Peer, *Servers->Peers);
+      Sync.peerProgressed(Peer);
   };
   Callbacks.SelfSuperseded = [this](const MemberRecord &Newer) {
     // The wall clock went back since this host's last run, so peers know a
@@ -193,6 +198,11 @@
                      {"draining", Changed.Draining},
                      {"run", Changed.Host.Run.Value}});
   updateHosts();
+  // The change is not applied to the list of members yet.
+  asio::post(Io, [this] {
+    if (!Ended)
+      Sync.membersChanged();
+  });
 }
 
 void GatewayDaemon::updateHosts() {
@@ -226,28 +236,34 @@
          Each.ConfigVersion + Each.Epoch > Ahead->ConfigVersion + Ahead->Epoch))
       Ahead = &Each;
   if (Ahead)
-    Sync.peerProgressed(*Ahead, *Servers->Peers);
+    Sync.peerProgressed(*Ahead);
 }
 
-void GatewayDaemon::announceHost() {
-  if (Stopping || Announced)
+void GatewayDaemon::joinByStore() {
+  if (Stopping || !Gossip || State.now() < NextJoin)
     return;
-  Port.Store.AnnounceHost(Settings.Host.value(), Settings.Traffic.Address,
-                          [this](bool Done) { Announced = Done; });
+  const auto Members = Gossip->members();
+  const bool Alone = std::ranges::count_if(Members, isLive) == 1;
+  FeedSourceChoice Choice(Settings.Host);
+  // Readers are enough for a host that looks for the others.
+  if (!Announced && (Alone || Choice.isReader(Members, Settings.Domain))) {
+    NextJoin = State.now() + JoinRetry;
+    Port.Store.AnnounceHost(Settings.Host.value(), Settings.Traffic.Address,
+                            [this](bool Done) { Announced = Done; });
+  }
+  if (!Alone)
+    return;
+  NextJoin = State.now() + JoinRetry;
   Port.Store.Read(StoreTable::Hosts, [this](auto Answer) {
     const auto *Image = std::get_if<TableImage>(&Answer);
-    if (!Image) {
-      auto Timer = std::make_shared<asio::steady_timer>(Io, AnnounceRetry);
-      Timer->async_wait(
-          [this, Timer](boost::system::error_code) { announceHost(); });
-      return;
-    }
-    if (!Gossip || Ended)
+    if (!Image || !Gossip || Ended)
       return;
     std::vector<Endpoint> Found;
     for (const TableRow &Row : Image->Rows)
       if (Row.Key != Settings.Host.value())
         Found.push_back({Row.Value, Settings.GossipPort});
+    State.Log.write(LogClass::Decision, "joining_by_store",
+                    {{"hosts", static_cast<std::uint64_t>(Found.size())}});
     Gossip->addSeeds(Found);
   });
 }
@@ -272,6 +288,7 @@
     return Known && Known->Worker.Run == Of;
   });
   catchUpWithPeers();
+  joinByStore();
 }
 
 bool GatewayDaemon::isReady() const {
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -50,7 +50,8 @@
   void updateHosts();
   void announceProgress();
   void catchUpWithPeers();
-  void announceHost();
+  //! Finds other hosts through the store when gossip alone does not.
+  void joinByStore();
   void armTick();
   void tick();
   transport::HttpResponse answerLookup(const transport::HttpRequest &Request);
@@ -69,6 +70,7 @@
   std::uint64_t Seed;
   Incarnation Run;
   Instant Started;
+  Instant NextJoin;
   GatewayState State;
   StoreSync Sync;
   std::unique_ptr<Ports> Servers;
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -5,8 +5,11 @@
 #include "masticgap/transport/http_server.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,31 +17,69 @@
 
 namespace masticgap::gateway {
 
-//! Encodes an image of a table for a peer (cereal portable binary).
-std::string encodeImage(const coordination::TableImage &Image);
+//! What a peer tells of a table: changes, or all rows when it cannot tell the
+//! changes since the version asked for.
+struct PeerUpdate {
+  std::vector<coordination::RowChange> Changes;
+  std::uint64_t Version = 0;
+  bool Whole = false; //!< Changes are all rows of the table.
+};
+
+//! Encodes an update for a peer (cereal portable binary).
+std::string encodeUpdate(const PeerUpdate &Update);
 
-//! \returns nothing when the bytes are not a whole image.
-std::optional<coordination::TableImage> decodeImage(std::string_view Bytes);
+//! \returns nothing when the bytes are not a whole update.
+std::optional<PeerUpdate> decodeUpdate(std::string_view Bytes);
+
+//! Question for the changes of a table.
+struct PeerQuestion {
+  StoreTable Table = StoreTable::Operator;
+  std::uint64_t After = 0;
+  std::chrono::milliseconds Wait{0}; //!< For the first change.
+  //! Asks a reader, which must have a connection to the store itself.
+  bool FromReader = false;
+};
 
-//! Gives the own copies of the store's tables to peers, and reads theirs. A
-//! host that the store turns away stays up to date by it.
+//! Gives what this host holds of the store's tables to peers, and reads what
+//! they hold.
 class PeerExchange {
 public:
-  using Source = std::function<coordination::TableImage(StoreTable)>;
-  using Handler = std::function<void(std::optional<coordination::TableImage>)>;
+  //! What this host holds beyond a version; nothing when it has no table, or
+  //! no connection to the store and FromReader is set.
+  using Source = std::function<std::optional<PeerUpdate>(const PeerQuestion &)>;
+  using Handler = std::function<void(std::optional<PeerUpdate>)>;
 
   //! \throws boost::system::system_error if the address cannot be bound.
   PeerExchange(boost::asio::io_context &Io, const Endpoint &Bind,
-               Source OwnImage);
+               Source OwnUpdate);
+  ~PeerExchange();
 
-  //! Reads a peer's copy.
-  void fetch(const Endpoint &Peer, StoreTable Table, Handler Done);
-  void drain() { Server.drain(); }
+  //! Reads a peer's changes.
+  void fetch(const Endpoint &Peer, const PeerQuestion &Question, Handler Done);
+  //! Answers the peers that wait for changes, now that there are some.
+  void notify();
 
 private:
+  //! Peer whose answer waits for a change.
+  struct Waiter {
+    Waiter(boost::asio::io_context &Io, PeerQuestion Question,
+           transport::HttpServer::Reply Reply)
+        : Question(Question), Reply(std::move(Reply)), Timer(Io) {}
+
+    PeerQuestion Question;
+    transport::HttpServer::Reply Reply;
+    boost::asio::steady_timer Timer;
+  };
+  using WaiterPtr = std::shared_ptr<Waiter>;
+
+  void serve(const transport::HttpRequest &Request,
+             const transport::HttpServer::Reply &Reply);
+  void answer(const WaiterPtr &To);
+
   boost::asio::io_context &Io;
-  Source OwnImage;
+  Source OwnUpdate;
   transport::HttpServer Server;
+  std::list<WaiterPtr> Waiting;
 };
 
 } // namespace masticgap::gateway
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -27,12 +27,15 @@
 StoreSync::StoreSync(GatewayState &State, const PlatformPort &Port,
                      std::function<void()> OnChange)
     : State(State), Port(Port), OnChange(std::move(OnChange)),
+      Sources(State.Settings.Host),
       OperatorFeed(State.Io, StoreTable::Operator, State.Random()),
       WorkerFeed(State.Io, StoreTable::Workers, State.Random()) {}
 
 StoreSync::~StoreSync() { *Alive = false; }
 
-void StoreSync::start() {
+void StoreSync::start(PeerExchange &Channel, Members Accessor) {
+  Exchange = &Channel;
+  Known = std::move(Accessor);
   run(OperatorFeed);
   run(WorkerFeed);
 }
@@ -50,6 +53,7 @@
 }
 
 void StoreSync::perform(Feed &Of, const FollowerCall &Call) {
+  Of.Reader.reset();
   if (const auto *Pause = std::get_if<PauseUntil>(&Call)) {
     Of.Timer.expires_after(Pause->Time - State.now());
     Of.Timer.async_wait([this, &Of](boost::system::error_code Failure) {
@@ -58,22 +62,38 @@
     });
     return;
   }
+  ++Of.Generation;
+  const auto *Await = std::get_if<AwaitChanges>(&Call);
+  if (!Await)
+    return readStore(Of);
+  const FeedSource Source =
+      Sources.choose(Known(), State.Settings.Domain, State.now());
+  if (const auto *Reader = std::get_if<AskReader>(&Source))
+    return awaitReader(Of, *Await, Reader->Reader);
+  awaitStore(Of, *Await);
+}
+
+void StoreSync::awaitStore(Feed &Of, const AwaitChanges &Call) {
   State.Measured.count("store_calls", tableName(Of.Table));
-  if (const auto *Await = std::get_if<AwaitChanges>(&Call)) {
-    Port.Store.Await(Of.Table, *Await, [this, &Of, Keep = Alive](auto Answer) {
-      if (!*Keep)
-        return;
-      if (const auto *Why = std::get_if<StoreFailure>(&Answer))
-        return failed(Of, *Why);
-      const auto &Got = std::get<TableChanges>(Answer);
-      settled(Of,
-              Of.Follower.changesDone(Got.Changes, Got.Version, State.now()),
-              "store");
-    });
-    return;
-  }
-  Port.Store.Read(Of.Table, [this, &Of, Keep = Alive](auto Answer) {
-    if (!*Keep)
+  Port.Store.Await(
+      Of.Table, Call,
+      [this, &Of, Keep = Alive, Current = Of.Generation](auto Answer) {
+        if (!*Keep || Current != Of.Generation)
+          return;
+        if (const auto *Why = std::get_if<StoreFailure>(&Answer))
+          return failed(Of, *Why);
+        const auto &Got = std::get<TableChanges>(Answer);
+        settled(Of,
+                Of.Follower.changesDone(Got.Changes, Got.Version, State.now()),
+                "store");
+      });
+}
+
+void StoreSync::readStore(Feed &Of) {
+  State.Measured.count("store_calls", tableName(Of.Table));
+  Port.Store.Read(Of.Table, [this, &Of, Keep = Alive,
+                             Current = Of.Generation](auto Answer) {
+    if (!*Keep || Current != Of.Generation)
       return;
     if (const auto *Why = std::get_if<StoreFailure>(&Answer))
       return failed(Of, *Why);
@@ -82,6 +102,77 @@
   });
 }
 
+void StoreSync::awaitReader(Feed &Of, const AwaitChanges &Call,
+                            const EntryHostDescriptor &Reader) {
+  Of.Reader = Reader.Id;
+  PeerQuestion Question;
+  Question.Table = Of.Table;
+  Question.After = Call.After;
+  Question.Wait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Call.LongestWait);
+  Question.FromReader = true;
+  Exchange->fetch({Reader.Address, Reader.AdminPort}, Question,
+                  [this, &Of, Keep = Alive, Current = Of.Generation,
+                   Id = Reader.Id](const std::optional<PeerUpdate> &Update) {
+                    if (!*Keep || Current != Of.Generation)
+                      return;
+                    if (Update) {
+                      take(Of, *Update);
+                      return run(Of);
+                    }
+                    State.Measured.count("reader_failures",
+                                         tableName(Of.Table));
+                    Sources.failed(Id, State.now());
+                    run(Of);
+                  });
+}
+
+void StoreSync::take(Feed &Of, const PeerUpdate &Update) {
+  if (!Update.Whole)
+    return apply(
+        Of,
+        Of.Follower.changesDone(Update.Changes, Update.Version, State.now()),
+        "peer");
+  TableImage Image;
+  Image.Version = Update.Version;
+  for (const RowChange &Each : Update.Changes)
+    Image.Rows.push_back(Each.Row);
+  apply(Of, Of.Follower.peerImage(Image), "peer");
+}
+
+void StoreSync::membersChanged() {
+  if (Stopped || !Exchange)
+    return;
+  for (Feed *Each : {&OperatorFeed, &WorkerFeed}) {
+    if (!Each->Reader)
+      continue;
+    const auto Members = Known();
+    const auto Found = std::ranges::find(
+        Members, *Each->Reader,
+        [](const MemberRecord &Member) { return Member.Host.Id; });
+    if (Found == Members.end() || Found->Status != MemberStatus::Alive)
+      run(*Each);
+  }
+}
+
+std::optional<PeerUpdate>
+StoreSync::update(const PeerQuestion &Question) const {
+  const Feed &Of = feed(Question.Table);
+  const ReplicatedTable &Copy = Of.Follower.table();
+  if (!Copy.isLoaded() || (Question.FromReader && !Of.Follower.isConnected()))
+    return std::nullopt;
+  PeerUpdate Update;
+  Update.Version = Copy.version();
+  if (auto Changes = Copy.changesSince(Question.After)) {
+    Update.Changes = std::move(*Changes);
+    return Update;
+  }
+  Update.Whole = true;
+  for (TableRow &Row : Copy.image().Rows)
+    Update.Changes.push_back({std::move(Row), false});
+  return Update;
+}
+
 void StoreSync::failed(Feed &Of, StoreFailure Why) {
   const bool Gone = Why == StoreFailure::HistoryGone;
   Of.Follower.failed(Why, State.now());
@@ -95,6 +186,8 @@
                     {{"table", tableName(Of.Table)},
                      {"version", Of.Follower.table().version()}});
   Of.Connected = Gone && Of.Connected;
+  // Hosts that wait for changes here have to ask elsewhere.
+  Exchange->notify();
   run(Of);
 }
 
@@ -140,8 +233,10 @@
   }
   if (Of.Table == StoreTable::Workers && Of.Follower.table().isLoaded())
     InitialWorkers = false;
-  if (!Changes.empty())
-    OnChange();
+  if (Changes.empty())
+    return;
+  OnChange();
+  Exchange->notify();
 }
 
 void StoreSync::applyOperator(const RowChange &Change,
@@ -224,11 +319,6 @@
        {"version", Change.Row.Version}});
 }
 
-TableImage StoreSync::image(StoreTable Table) const {
-  return Table == StoreTable::Operator ? OperatorFeed.Follower.table().image()
-                                       : WorkerFeed.Follower.table().image();
-}
-
 TableProgress StoreSync::progress() const {
   return {OperatorFeed.LastChange, WorkerFeed.LastChange};
 }
@@ -238,16 +328,16 @@
          WorkerFeed.Follower.isConnected();
 }
 
-void StoreSync::peerProgressed(const MemberRecord &Peer,
-                               PeerExchange &Exchange) {
+void StoreSync::peerProgressed(const MemberRecord &Peer) {
+  if (!Exchange)
+    return;
   if (Peer.ConfigVersion > OperatorFeed.LastChange)
-    fetchFrom(OperatorFeed, Peer, Exchange);
+    fetchFrom(OperatorFeed, Peer);
   if (Peer.Epoch > WorkerFeed.LastChange)
-    fetchFrom(WorkerFeed, Peer, Exchange);
+    fetchFrom(WorkerFeed, Peer);
 }
 
-void StoreSync::fetchFrom(Feed &Of, const MemberRecord &Peer,
-                          PeerExchange &Exchange) {
+void StoreSync::fetchFrom(Feed &Of, const MemberRecord &Peer) {
   if (Of.Fetching || Stopped)
     return;
   Of.Fetching = true;
@@ -259,25 +349,39 @@
   const std::uint64_t Wanted =
       Of.Table == StoreTable::Operator ? Peer.ConfigVersion : Peer.Epoch;
   const Endpoint Address{Peer.Host.Address, Peer.Host.AdminPort};
-  Delay->async_wait([this, &Of, &Exchange, Wanted, Address, Delay,
+  Delay->async_wait([this, &Of, Wanted, Address, Delay,
                      Keep = Alive](boost::system::error_code) {
-    if (!*Keep || Stopped)
-      return;
-    if (Of.LastChange >= Wanted) {
-      Of.Fetching = false;
-      return;
-    }
-    Exchange.fetch(Address, Of.Table,
-                   [this, &Of, Wanted, Keep](std::optional<TableImage> Image) {
-                     if (!*Keep)
-                       return;
-                     Of.Fetching = false;
-                     if (!Image)
-                       return;
-                     settled(Of, Of.Follower.peerImage(*Image), "peer");
-                     Of.LastChange = std::max(Of.LastChange, Wanted);
-                   });
+    if (*Keep && !Stopped)
+      catchUp(Of, Wanted, Address);
   });
 }
 
+void StoreSync::catchUp(Feed &Of, std::uint64_t Wanted, const Endpoint &Peer) {
+  if (Of.LastChange >= Wanted) {
+    Of.Fetching = false;
+    return;
+  }
+  PeerQuestion Question;
+  Question.Table = Of.Table;
+  Question.After = Of.Follower.table().version();
+  Exchange->fetch(
+      Peer, Question,
+      [this, &Of, Wanted, Keep = Alive](const std::optional<PeerUpdate> &Got) {
+        if (!*Keep)
+          return;
+        Of.Fetching = false;
+        if (!Got)
+          return;
+        State.Measured.count("caught_up_with_peer", tableName(Of.Table));
+        const auto Changes = Got->Changes;
+        if (Got->Whole)
+          take(Of, *Got);
+        else
+          apply(Of, Of.Follower.peerChanges(Changes, Got->Version), "peer");
+        // The versions of a peer may tell removals that its image no longer
+        // dates.
+        Of.LastChange = std::max(Of.LastChange, Wanted);
+      });
+}
+
 } // namespace masticgap::gateway
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -4,6 +4,7 @@
 #include "gateway/peer_exchange.hpp"
 #include "gateway/platform_port.hpp"
 #include "masticgap/coordination/member_record.hpp"
+#include "masticgap/coordination/replica/feed_source.hpp"
 #include "masticgap/coordination/replica/table_follower.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -29,13 +30,19 @@
             std::function<void()> OnChange);
   ~StoreSync();
 
-  void start();
+  using Members = std::function<std::span<const coordination::MemberRecord>()>;
+
+  //! \param Exchange channel to peers; it outlives the calls to this object.
+  //! \param Known the members that gossip knows.
+  void start(PeerExchange &Exchange, Members Known);
   void stop();
-  //! A peer holds changes up to these versions.
-  void peerProgressed(const coordination::MemberRecord &Peer,
-                      PeerExchange &Exchange);
+  //! A peer holds changes up to the versions that its record tells.
+  void peerProgressed(const coordination::MemberRecord &Peer);
+  //! A member's status changed, so another host may be the reader.
+  void membersChanged();
 
-  coordination::TableImage image(StoreTable Table) const;
+  //! What this host holds beyond a version, for a peer.
+  std::optional<PeerUpdate> update(const PeerQuestion &Question) const;
   TableProgress progress() const;
   bool isConnected() const;
 
@@ -49,12 +56,20 @@
     coordination::TableFollower Follower;
     boost::asio::steady_timer Timer;
     std::uint64_t LastChange = 0;
-    bool Fetching = false;  //!< From a peer.
-    bool Connected = false; //!< As the log tells it.
+    bool Fetching = false; //!< Catching up with a peer.
+    //! Calls of earlier generations are ignored when they end.
+    std::uint64_t Generation = 0;
+    std::optional<HostId> Reader; //!< Asked at present, if not the store.
+    bool Connected = false;       //!< As the log tells it.
   };
 
   void run(Feed &Of);
   void perform(Feed &Of, const coordination::FollowerCall &Call);
+  void awaitStore(Feed &Of, const coordination::AwaitChanges &Call);
+  void awaitReader(Feed &Of, const coordination::AwaitChanges &Call,
+                   const EntryHostDescriptor &Reader);
+  void readStore(Feed &Of);
+  void take(Feed &Of, const PeerUpdate &Update);
   void failed(Feed &Of, coordination::StoreFailure Why);
   void settled(Feed &Of, const std::vector<coordination::RowChange> &Changes,
                std::string_view Source);
@@ -63,13 +78,19 @@
   void applyOperator(const coordination::RowChange &Change,
                      std::string_view Source);
   void applyWorker(const coordination::RowChange &Change);
-  void fetchFrom(Feed &Of, const coordination::MemberRecord &Peer,
-                 PeerExchange &Exchange);
+  void fetchFrom(Feed &Of, const coordination::MemberRecord &Peer);
+  void catchUp(Feed &Of, std::uint64_t Wanted, const Endpoint &Peer);
+  const Feed &feed(StoreTable Table) const {
+    return Table == StoreTable::Operator ? OperatorFeed : WorkerFeed;
+  }
   bool afterOutage(const Feed &Of) const;
 
   GatewayState &State;
   const PlatformPort &Port;
   std::function<void()> OnChange;
+  PeerExchange *Exchange = nullptr;
+  Members Known;
+  coordination::FeedSourceChoice Sources;
   Feed OperatorFeed;
   Feed WorkerFeed;
   std::map<std::string, FailureDomainName> Evacuations; //!< By row key.
--- /dev/null
+++ b/src/masticgap/coordination/replica/feed_source.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "masticgap/coordination/member_record.hpp"
+#include "masticgap/state/names.hpp"
+#include "masticgap/state/time.hpp"
+
+#include <map>
+#include <span>
+#include <variant>
+
+namespace masticgap::coordination {
+
+//! The host asks the store itself.
+struct AskStore {
+  friend bool operator==(const AskStore &, const AskStore &) = default;
+};
+//! The host asks the host that reads the store for its failure domain.
+struct AskReader {
+  EntryHostDescriptor Reader;
+  friend bool operator==(const AskReader &, const AskReader &) = default;
+};
+using FeedSource = std::variant<AskStore, AskReader>;
+
+//! Decides whom a host asks for changes of the store's tables. One host of each
+//! failure domain reads the store and hands changes on, so that calls to the
+//! store grow with the number of failure domains. A reader that failed is
+//! passed over for a while, and the store is asked instead.
+class FeedSourceChoice {
+public:
+  explicit FeedSourceChoice(HostId Self) : Self(std::move(Self)) {}
+
+  FeedSource choose(std::span<const MemberRecord> Members,
+                    const FailureDomainName &Domain, Instant Now) const;
+  //! Whether this host reads the store for its failure domain.
+  bool isReader(std::span<const MemberRecord> Members,
+                const FailureDomainName &Domain) const;
+
+  //! The reader did not answer, or has no connection to the store itself.
+  void failed(const HostId &Reader, Instant Now);
+
+private:
+  HostId Self;
+  std::map<HostId, Instant> AvoidUntil;
+};
+
+} // namespace masticgap::coordination
--- a/src/masticgap/coordination/replica/replicated_table.cpp
+++ b/src/masticgap/coordination/replica/replicated_table.cpp
@@ -24,6 +24,8 @@
   for (const auto &[Key, Row] : Rows)
     if (!Given.contains(Key))
       Changes.push_back({{Key, {}, Image.Version}, true});
+  // An image tells which rows are gone, but not when they were removed.
+  Horizon = Image.Version;
   Loaded = true;
   return apply(Changes, Image.Version);
 }
@@ -48,13 +50,32 @@
     }
     News.push_back(Each);
   }
-  while (Tombstones.size() > MaxTombstones)
-    Tombstones.erase(std::ranges::min_element(
-        Tombstones, {}, [](const auto &Entry) { return Entry.second; }));
+  while (Tombstones.size() > MaxTombstones) {
+    const auto Oldest = std::ranges::min_element(
+        Tombstones, {}, [](const auto &Entry) { return Entry.second; });
+    Horizon = std::max(Horizon, Oldest->second);
+    Tombstones.erase(Oldest);
+  }
   Version = std::max(Version, NewVersion);
   return News;
 }
 
+std::optional<std::vector<RowChange>>
+ReplicatedTable::changesSince(std::uint64_t Earlier) const {
+  if (!Loaded || Earlier < Horizon)
+    return std::nullopt;
+  std::vector<RowChange> Changes;
+  for (const auto &[Key, Row] : Rows)
+    if (Row.Version > Earlier)
+      Changes.push_back({Row, false});
+  for (const auto &[Key, Removed] : Tombstones)
+    if (Removed > Earlier && !Rows.contains(Key))
+      Changes.push_back({{Key, {}, Removed}, true});
+  std::ranges::sort(Changes, {},
+                    [](const RowChange &Each) { return Each.Row.Version; });
+  return Changes;
+}
+
 TableImage ReplicatedTable::image() const {
   TableImage Image;
   Image.Version = Version;
--- a/src/masticgap/coordination/replica/replicated_table.hpp
+++ b/src/masticgap/coordination/replica/replicated_table.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -50,6 +51,11 @@
   //! Version that the copy reflects; 0 before the first image.
   std::uint64_t version() const { return Version; }
   bool isLoaded() const { return Loaded; }
+  //! Changes that lead from an earlier version to the copy's.
+  //! \returns nothing when removals since then may have been forgotten; then
+  //! only an image tells them.
+  std::optional<std::vector<RowChange>>
+  changesSince(std::uint64_t Earlier) const;
   //! The copy as an image, for a peer.
   TableImage image() const;
 
@@ -59,6 +65,8 @@
   //! arrive late are recognised.
   std::map<std::string, std::uint64_t> Tombstones;
   std::uint64_t Version = 0;
+  //! All removals after this version are among the tombstones.
+  std::uint64_t Horizon = 0;
   bool Loaded = false;
 };
 
--- a/src/masticgap/coordination/replica/table_follower.cpp
+++ b/src/masticgap/coordination/replica/table_follower.cpp
@@ -62,6 +62,12 @@
   ++Failures;
 }
 
+std::vector<RowChange>
+TableFollower::peerChanges(std::span<const RowChange> Changes,
+                           std::uint64_t Version) {
+  return Copy.apply(Changes, Version);
+}
+
 std::vector<RowChange> TableFollower::peerImage(const TableImage &Image) {
   return Copy.replace(Image);
 }
--- a/src/masticgap/coordination/replica/table_follower.hpp
+++ b/src/masticgap/coordination/replica/table_follower.hpp
@@ -59,6 +59,9 @@
   std::vector<RowChange> changesDone(std::span<const RowChange> Changes,
                                      std::uint64_t Version, Instant Now);
   void failed(StoreFailure Why, Instant Now);
+  //! Changes that a peer holds. The own calls go on as before.
+  std::vector<RowChange> peerChanges(std::span<const RowChange> Changes,
+                                     std::uint64_t Version);
   //! An image that a peer holds. The own calls go on as before.
   std::vector<RowChange> peerImage(const TableImage &Image);
 
