Serve a request whose bytes a drain finds already read

Cause: a read that starts when the bytes are there takes them at once and goes on later; a drain in between found the socket quiet and closed it, though the request was then passed on to a worker. Change: a drain cancels the pending read instead of closing the socket; the entry daemon has the same code and the same mend.

--- a/scripts/check-tidy.sh
+++ b/scripts/check-tidy.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Runs clang-tidy over all sources, or over those given: scripts/check-tidy.sh [BUILD_DIR [FILE...]]
+# A file that was clean is not checked again while it, its headers and the checks stay the same.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 dir=${1:-build}
@@ -7,4 +8,7 @@
 files=("$@")
 [ ${#files[@]} -gt 0 ] || mapfile -t files < <(git ls-files '*.cpp')
 [ ${#files[@]} -gt 0 ] || exit 0
-printf '%s\n' "${files[@]}" | xargs -P "${TIDY_JOBS:-10}" -n 1 clang-tidy --quiet -p "$dir" 2>/dev/null
+export TIDY_DIR=$dir
+export TIDY_CACHE=${XDG_CACHE_HOME:-$HOME/.cache}/masticgap-tidy
+mkdir -p "$TIDY_CACHE"
+printf '%s\n' "${files[@]}" | xargs -P "${TIDY_JOBS:-$(nproc)}" -n 1 scripts/tidy-file.sh
--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -205,12 +205,11 @@
   Stream.close();
 }
 
-void CallerConnection::closeIfQuiet() {
-  char Byte = 0;
-  const auto Read = ::recv(Stream.socket().native_handle(), &Byte, 1,
-                           MSG_PEEK | MSG_DONTWAIT);
-  if (Read <= 0)
-    close();
+void CallerConnection::closeIfIdle() {
+  // A read that took bytes already goes on with them; one that waits ends with
+  // an error, which closes the connection.
+  if (!Busy)
+    Stream.cancel();
 }
 
 void CallerConnection::close() {
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -72,8 +72,9 @@
   void abort();
   //! Closes at once.
   void close();
-  //! Closes if no bytes of a request have arrived.
-  void closeIfQuiet();
+  //! Ends the wait for the next request. A request of which bytes were read is
+  //! served.
+  void closeIfIdle();
   //! Closes in order after an answer, so that unread bytes of the request do
   //! not reset the connection before the caller has read the answer.
   boost::asio::awaitable<void> closeGently();
--- a/src/entry/traffic_server.cpp
+++ b/src/entry/traffic_server.cpp
@@ -172,7 +172,7 @@
   for (const auto &Each : Open) {
     Each->endAfterAnswer();
     if (!Each->isBusy())
-      Each->closeIfQuiet();
+      Each->closeIfIdle();
   }
   if (Pimpl->Callers.empty() && Pimpl->OnEmpty)
     std::exchange(Pimpl->OnEmpty, {})();
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -158,7 +158,7 @@
   for (const auto &Each : Open) {
     Each->endAfterAnswer();
     if (!Each->isBusy())
-      Each->closeIfQuiet();
+      Each->closeIfIdle();
   }
   if (Pimpl->Callers.empty() && Pimpl->OnEmpty)
     std::exchange(Pimpl->OnEmpty, {})();
