Add the fault soak

Gateways as processes, their store links through a loopback proxy (cut, delay, silent, one way), signals in series and overlapping, a store that refuses, throttles, falls silent or forgets, workers that drain, crash, turn slow or lose answers; callers keep their connections.

--- /dev/null
+++ b/scripts/local/soak.py
@@ -0,0 +1,357 @@
+"""Fault soak: real gateways as processes, faults from outside, promises checked from both sides."""
+
+import argparse
+import collections
+import http.client
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+from soak_world import Caller, Proxy, Worker
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+GATEWAYS, WORKERS, CALLERS = 4, 6, 8
+GRACE_S = 3.0       # Grace period of a planned stop, as in the settings.
+DRAIN_S = 2.5       # A leaving worker gets no request later than this.
+RECOVERY_S = 15.0   # After the last fault requests are served again.
+RETRY_RATIO, RETRY_SLACK = 0.2, 40
+# Seeds that failed once, with the cause; they run before fresh ones.
+KEPT_SEEDS = {}
+
+
+class Gateway:
+    """One gateway process, restarted under the same address."""
+
+    def __init__(self, world, number):
+        self.world, self.number = world, number
+        self.address = "127.0.1.%d" % (number + 1)
+        self.ports = world.ports
+        self.proxy = Proxy(("127.0.0.1", world.store_port))
+        self.run = 0
+        self.faults = []  # (time, kind) of what was done to it.
+        self.child = None
+        self.log = open(world.directory / f"gateway-{number}.log", "ab")
+
+    def settings(self):
+        where = f"{self.address}:"
+        return {
+            "host": f"g{self.number}", "region": "r1", "failure_domain": f"d{self.number % 2 + 1}",
+            "failure_domains": {"d1": "r1", "d2": "r1"},
+            "traffic": where + str(self.ports["traffic"]), "readiness": where + str(self.ports["ready"]),
+            "lookup": where + str(self.ports["lookup"]), "gossip_port": self.ports["gossip"],
+            "peer_port": self.ports["peer"], "seeds": ["127.0.1.1:1", "127.0.1.2:1"],
+            "platform": f"127.0.0.1:{self.proxy.port}", "grace_period": f"{GRACE_S}s",
+            "retry_ratio": RETRY_RATIO, "retry_slack": RETRY_SLACK}
+
+    def start(self):
+        path = self.world.directory / f"gateway-{self.number}.json"
+        path.write_text(json.dumps(self.settings()))
+        self.run += 1
+        self.child = subprocess.Popen(
+            [str(self.world.bin / "masticgap-gateway"), "--settings", str(path)],
+            stdout=self.log, stderr=self.log)
+
+    def signal(self, number):
+        self.faults.append((time.monotonic(), number))
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def disturbed(self, begun, but=()):
+        """Whether anything but the signals named was done since shortly before."""
+        return any(at > begun - 3 and kind not in but for at, kind in self.faults)
+
+
+class World:
+    """All processes and stand-ins of one seed, and what they saw."""
+
+    def __init__(self, seed, seconds, binaries):
+        self.seed, self.seconds, self.bin = seed, seconds, pathlib.Path(binaries)
+        self.random = random.Random(seed)
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        self.ended = False
+        self.lock = threading.Lock()
+        self.runs = collections.defaultdict(list)  # Attempt id: (time, worker, path).
+        self.results = []
+        self.violations = []
+        self.version = 0
+        self.extra_routes = []
+        self.served_routes = {}
+        self.last_store_fault = 0.0
+        self.calm_from = time.monotonic()
+        self.ports = self.free_ports()
+        self.store = subprocess.Popen([str(self.bin / "standin-store")], stdout=subprocess.PIPE, text=True)
+        self.store_port = int(self.store.stdout.readline().split()[1])
+        self.gateways = [Gateway(self, n) for n in range(GATEWAYS)]
+        self.workers = []
+        self.worker_number = 0
+
+    @staticmethod
+    def free_ports():
+        held = [socket.create_server(("127.0.0.1", 0)) for _ in range(5)]
+        numbers = [each.getsockname()[1] for each in held]
+        for each in held:
+            each.close()
+        return dict(zip(("traffic", "ready", "lookup", "peer", "gossip"), numbers))
+
+    def control(self, query, body=""):
+        call = http.client.HTTPConnection("127.0.0.1", self.store_port, timeout=5)
+        call.request("POST", "/control?" + query, body)
+        call.getresponse().read()
+        call.close()
+
+    # What the stand-ins report.
+
+    def executed(self, worker, ident, path):
+        with self.lock:
+            self.runs[ident].append((time.monotonic(), worker, path))
+            left = worker.left_at
+        calm = time.monotonic() - self.calm_from > DRAIN_S + 4
+        if left and calm and time.monotonic() - left > DRAIN_S:
+            self.violate(f"{worker.id} ran {ident} {time.monotonic() - left:.1f} s after it left")
+
+    def ended_request(self, ident, safe, path, status, body, gateway, run, begun):
+        with self.lock:
+            self.results.append((ident, safe, path, status, gateway, run, begun, time.monotonic()))
+        if status == 200 and body != ident.encode() * 3:
+            self.violate(f"{ident} got the answer of another request: {body[:40]!r}")
+        route = path.split("/")[1]
+        key = (gateway.number, run, route)
+        with self.lock:
+            if status == 200:
+                self.served_routes.setdefault(key, begun)
+            seen = self.served_routes.get(key)
+        if status == 404 and seen is not None and begun > seen + 0.25 and gateway.run == run:
+            self.violate(f"{ident}: route {route} went back to 404 on g{gateway.number}")
+
+    def violate(self, text):
+        with self.lock:
+            self.violations.append(text)
+
+    def paths(self, safe):
+        return ["/safe/x", *(f"/{r}/x" for r in self.extra_routes)] if safe else ["/unsafe/x"]
+
+    # Changes and faults.
+
+    def put_config(self, route=None):
+        self.version += self.random.randint(1, 5)
+        if route:
+            self.extra_routes.append(route)
+        rows = [["safe", "a.example", "/safe/", "safe", "1500ms", "400ms", 1, "svc", 2, True, [], None],
+                ["unsafe", "a.example", "/unsafe/", "unsafe", "1500ms", "400ms", 0, "svc", 2, True, [], None]]
+        rows += [[r, "a.example", f"/{r}/", "safe", "1500ms", "400ms", 2, "svc", 2, True, [], None]
+                 for r in self.extra_routes]
+        self.control("put=op&key=config", json.dumps({
+            "version": self.version,
+            "routes": {"columns": ["name", "hostname", "prefix", "kind", "timeout", "target_latency", "priority",
+                                   "service", "max_attempts", "session_affinity", "home_regions",
+                                   "traffic_split"], "rows": rows},
+            "services": {"columns": ["name", "health_check_path", "connection_limit", "cold_start", "cold_per_s"],
+                         "rows": [["svc", "/health", 600, "1s", 20]]},
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
+                       "header_timeout": "3000ms", "idle_timeout": "15000ms"}}))
+
+    def add_worker(self):
+        self.worker_number += 1
+        worker = Worker(self, f"w{self.worker_number}", domain=f"d{self.worker_number % 2 + 1}")
+        self.workers.append(worker)
+        self.control(f"put=servers&key={worker.id}", worker.row())
+
+    def drain_worker(self, worker):
+        self.workers.remove(worker)
+        self.add_worker()
+        self.control(f"put=servers&key={worker.id}", worker.row("draining"))
+        worker.left_at = time.monotonic()
+        threading.Timer(6, lambda: (self.control(f"remove=servers&key={worker.id}"), worker.stop())).start()
+
+    def crash_worker(self, worker):
+        self.workers.remove(worker)
+        worker.stop()
+        threading.Timer(2, self.control, [f"remove=servers&key={worker.id}"]).start()
+        threading.Timer(1, self.add_worker).start()
+
+    def restart_after(self, gateway, number):
+        gateway.signal(number)
+
+        def again():
+            try:
+                gateway.child.wait(GRACE_S + 3)
+            except subprocess.TimeoutExpired:
+                self.violate(f"g{gateway.number} outlived its grace period")
+                gateway.child.kill()
+                gateway.child.wait()
+            if not self.ended:
+                gateway.start()
+        threading.Thread(target=again, daemon=True).start()
+
+    def pause(self, gateway):
+        gateway.signal(signal.SIGSTOP)
+        threading.Timer(self.random.uniform(0.3, 2.5), gateway.signal, [signal.SIGCONT]).start()
+
+    def store_mode(self, mode, seconds):
+        self.control("mode=" + mode)
+        for gateway in self.gateways:
+            gateway.faults.append((time.monotonic(), "store"))
+        if mode != "forget":
+            threading.Timer(seconds, self.control, ["mode=serve"]).start()
+
+    def proxy_mode(self, gateway, mode, seconds):
+        gateway.proxy.set_mode(mode)
+        gateway.faults.append((time.monotonic(), "store"))
+        threading.Timer(seconds, gateway.proxy.set_mode, ["pass"]).start()
+
+    def fault(self):
+        pick, gateway = self.random, self.random.choice(self.gateways)
+        worker = pick.choice(self.workers)
+        seconds = pick.uniform(0.5, 3)
+        choices = {
+            "kill": lambda: self.restart_after(gateway, signal.SIGKILL),
+            "term": lambda: self.restart_after(gateway, signal.SIGTERM),
+            "pause": lambda: self.pause(gateway),
+            "hup": lambda: gateway.signal(signal.SIGHUP),
+            "config": lambda: self.put_config(),
+            "route": lambda: self.put_config(f"extra{self.version}"),
+            "drain": lambda: self.drain_worker(worker),
+            "crash": lambda: self.crash_worker(worker),
+            "slow": lambda: setattr(worker, "slow", pick.choice([1, 5, 20])),
+            "lose": lambda: setattr(worker, "lose", pick.choice([0, 0.05, 0.3])),
+            "store": lambda: self.store_mode(pick.choice(["refuse", "throttle", "silent", "forget"]), seconds),
+            "proxy": lambda: self.proxy_mode(gateway, pick.choice(["cut", "delay", "silent", "oneway"]), seconds),
+        }
+        kind = pick.choice(sorted(choices))
+        choices[kind]()
+        # Leaving is judged only while nothing but planned work goes on.
+        if kind not in ("config", "route", "drain", "hup", "term"):
+            self.calm_from = time.monotonic() + 6
+
+    # One seed from start to verdict.
+
+    def play(self):
+        try:
+            self.put_config()
+            for _ in range(WORKERS):
+                self.add_worker()
+            for gateway in self.gateways:
+                gateway.start()
+            self.await_service(30)
+            callers = [Caller(self, self.seed * 1000 + n) for n in range(CALLERS)]
+            for caller in callers:
+                caller.start()
+            end = time.monotonic() + self.seconds
+            while time.monotonic() < end:
+                time.sleep(self.random.expovariate(1.5))
+                self.fault()
+                if self.random.random() < 0.25:
+                    self.fault()
+            self.heal()
+            self.await_service(RECOVERY_S)
+            self.ended = True
+            for caller in callers:
+                caller.join(12)
+            time.sleep(0.5)
+            self.judge()
+        finally:
+            self.ended = True
+            for gateway in self.gateways:
+                if gateway.child and gateway.child.poll() is None:
+                    gateway.child.send_signal(signal.SIGCONT)
+                    gateway.child.kill()
+                    gateway.child.wait()
+            self.store.kill()
+            self.store.wait()
+            for worker in self.workers:
+                worker.stop()
+        return self.violations
+
+    def heal(self):
+        time.sleep(3)
+        self.control("mode=serve")
+        for gateway in self.gateways:
+            gateway.proxy.set_mode("pass")
+            if gateway.child.poll() is None:
+                gateway.child.send_signal(signal.SIGCONT)
+        for worker in self.workers:
+            worker.slow, worker.lose = 1, 0
+
+    def await_service(self, limit):
+        end, good, number = time.monotonic() + limit, 0, 0
+        while time.monotonic() < end:
+            gateway = self.random.choice(self.gateways)
+            number += 1
+            try:
+                call = http.client.HTTPConnection(gateway.address, gateway.ports["traffic"], timeout=3)
+                call.request("GET", "/safe/x", headers={
+                    "Host": "a.example", "Attempt-Id": f"probe-{time.monotonic()}",
+                    "Deadline-Milliseconds": "2000"})
+                good = good + 1 if call.getresponse().status == 200 else 0
+                call.close()
+            except (OSError, http.client.HTTPException):
+                good = 0
+            if good >= 20:
+                return
+            time.sleep(0.05)
+        self.violate(f"no 20 requests in a row were served within {limit} s, the last run had {good}")
+
+    def judge(self):
+        arrivals, requests = collections.Counter(), collections.Counter()
+        for ident, safe, _, status, gateway, run, begun, _ in self.results:
+            ran = len(self.runs.get(ident, ()))
+            requests[int(begun)] += 1
+            if not safe and ran > 1:
+                self.violate(f"{ident} may not be repeated and ran {ran} times")
+            if not safe and status in (408, 421, 429, 503) and ran:
+                self.violate(f"{ident} was refused with {status} and ran")
+            planned = {signal.SIGTERM, signal.SIGHUP}
+            if status == 0 and ran and not gateway.disturbed(begun, planned):
+                self.violate(f"{ident} ran and got no answer from g{gateway.number}, which was only told to stop")
+        for ran in self.runs.values():
+            for at, _, _ in ran[1:]:
+                arrivals[int(at)] += 1
+        for second in arrivals:
+            retries = sum(arrivals[second + i] for i in range(10))
+            sent = sum(requests[second + i] for i in range(10))
+            if retries > RETRY_RATIO * sent + RETRY_SLACK:
+                self.violate(f"{retries} retries for {sent} requests within 10 s")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", default=str(ROOT / "build/bin"))
+    parser.add_argument("--seed", type=int, help="play this seed only")
+    parser.add_argument("--seeds", type=int, default=3, help="number of fresh seeds")
+    parser.add_argument("--first", type=int, default=1, help="first of the fresh seeds")
+    parser.add_argument("--minutes", type=float, help="fresh seeds for so long instead")
+    parser.add_argument("--seconds", type=float, default=12, help="faults of one seed last so long")
+    options = parser.parse_args()
+    end = time.monotonic() + (options.minutes or 0) * 60
+    fresh = iter(range(options.first, 10**9))
+    seeds = [options.seed] if options.seed is not None else list(KEPT_SEEDS)
+    left = 0 if options.seed is not None else options.seeds
+    passed = failed = 0
+    while True:
+        if not seeds:
+            if time.monotonic() >= end and (options.minutes or left <= 0):
+                break
+            seeds.append(next(fresh))
+            left -= 1
+        seed = seeds.pop(0)
+        world = World(seed, options.seconds, options.bin)
+        violations = world.play()
+        statuses = collections.Counter(result[3] for result in world.results)
+        print(f"seed {seed}: {len(world.results)} requests {dict(sorted(statuses.items()))}, "
+              f"{len(violations)} violations, logs in {world.directory}", flush=True)
+        for each in violations[:10]:
+            print("  " + each, flush=True)
+        passed, failed = passed + (not violations), failed + bool(violations)
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
