--- a/src/masticgap/coordination/admission/admission_policy.cpp
+++ b/src/masticgap/coordination/admission/admission_policy.cpp
@@ -17,7 +17,10 @@
   const double Part = std::max(
       Policy.LeastWait, Policy.UrgentWait - Policy.WaitStep * Case.Priority);
   const auto Longest = std::chrono::duration_cast<Duration>(Case.Target * Part);
-  const bool TooLate = Case.Completion > Case.TimeLeft;
+  const Duration Work = Case.Completion - Case.Wait;
+  const auto Needed =
+      Case.Wait + std::chrono::duration_cast<Duration>(Work * Policy.LeastWork);
+  const bool TooLate = Needed > Case.TimeLeft;
   if (Case.Wait <= Longest && !TooLate)
     return Admitted{};
   return TurnedAway{std::max(LeastRetryAfter, Case.Wait - Longest / 2)};
--- a/src/masticgap/coordination/admission/admission_policy.hpp
+++ b/src/masticgap/coordination/admission/admission_policy.hpp
@@ -23,6 +23,9 @@
   //! Part of the wait that each step of priority takes off.
   double WaitStep = 0.25;
   double LeastWait = 0.4;
+  //! Part of the usual work for which time has to be left. Half of all runs
+  //! are faster than usual, but hardly one takes less than this part.
+  double LeastWork = 0.6;
 };
 
 //! The request is sent.
