--- a/scripts/local/soak.py
+++ b/scripts/local/soak.py
@@ -134,6 +134,13 @@
         with self.lock:
             self.violations.append(text)
 
+    def later(self, seconds, call, *arguments):
+        """Calls something after a while, unless the seed has ended by then."""
+        def run():
+            if not self.ended:
+                call(*arguments)
+        threading.Timer(seconds, run).start()
+
     def paths(self, safe):
         return ["/safe/x", *(f"/{r}/x" for r in self.extra_routes)] if safe else ["/unsafe/x"]
 
@@ -168,13 +175,13 @@
         self.add_worker()
         self.control(f"put=servers&key={worker.id}", worker.row("draining"))
         worker.left_at = time.monotonic()
-        threading.Timer(6, lambda: (self.control(f"remove=servers&key={worker.id}"), worker.stop())).start()
+        self.later(6, lambda: (self.control(f"remove=servers&key={worker.id}"), worker.stop()))
 
     def crash_worker(self, worker):
         self.workers.remove(worker)
         worker.stop()
-        threading.Timer(2, self.control, [f"remove=servers&key={worker.id}"]).start()
-        threading.Timer(1, self.add_worker).start()
+        self.later(2, self.control, f"remove=servers&key={worker.id}")
+        self.later(1, self.add_worker)
 
     def restart_after(self, gateway, number):
         gateway.signal(number)
@@ -192,19 +199,19 @@
 
     def pause(self, gateway):
         gateway.signal(signal.SIGSTOP)
-        threading.Timer(self.random.uniform(0.3, 2.5), gateway.signal, [signal.SIGCONT]).start()
+        self.later(self.random.uniform(0.3, 2.5), gateway.signal, signal.SIGCONT)
 
     def store_mode(self, mode, seconds):
         self.control("mode=" + mode)
         for gateway in self.gateways:
             gateway.faults.append((time.monotonic(), "store"))
         if mode != "forget":
-            threading.Timer(seconds, self.control, ["mode=serve"]).start()
+            self.later(seconds, self.control, "mode=serve")
 
     def proxy_mode(self, gateway, mode, seconds):
         gateway.proxy.set_mode(mode)
         gateway.faults.append((time.monotonic(), "store"))
-        threading.Timer(seconds, gateway.proxy.set_mode, ["pass"]).start()
+        self.later(seconds, gateway.proxy.set_mode, "pass")
 
     def fault(self):
         pick, gateway = self.random, self.random.choice(self.gateways)
