--- a/scripts/local/soak.py
+++ b/scripts/local/soak.py
@@ -23,7 +23,10 @@
 RECOVERY_S = 15.0   # After the last fault requests are served again.
 RETRY_RATIO, RETRY_SLACK = 0.2, 40
 # Seeds that failed once, with the cause; they run before fresh ones.
-KEPT_SEEDS = {}
+KEPT_SEEDS = {
+    202: "ports of the ephemeral range were taken by connections of another run; one gateway did not start",
+    204: "the same",
+}
 
 
 class Gateway:
@@ -31,7 +34,7 @@
 
     def __init__(self, world, number):
         self.world, self.number = world, number
-        self.address = "127.0.1.%d" % (number + 1)
+        self.address = world.address(number)
         self.ports = world.ports
         self.proxy = Proxy(("127.0.0.1", world.store_port))
         self.run = 0
@@ -46,7 +49,7 @@
             "failure_domains": {"d1": "r1", "d2": "r1"},
             "traffic": where + str(self.ports["traffic"]), "readiness": where + str(self.ports["ready"]),
             "lookup": where + str(self.ports["lookup"]), "gossip_port": self.ports["gossip"],
-            "peer_port": self.ports["peer"], "seeds": ["127.0.1.1:1", "127.0.1.2:1"],
+            "peer_port": self.ports["peer"], "seeds": [self.world.address(0) + ":1", self.world.address(1) + ":1"],
             "platform": f"127.0.0.1:{self.proxy.port}", "grace_period": f"{GRACE_S}s",
             "retry_ratio": RETRY_RATIO, "retry_slack": RETRY_SLACK}
 
@@ -92,13 +95,23 @@
         self.workers = []
         self.worker_number = 0
 
-    @staticmethod
-    def free_ports():
-        held = [socket.create_server(("127.0.0.1", 0)) for _ in range(5)]
-        numbers = [each.getsockname()[1] for each in held]
-        for each in held:
-            each.close()
-        return dict(zip(("traffic", "ready", "lookup", "peer", "gossip"), numbers))
+    def address(self, number):
+        """Address of a gateway; runs beside this one have other seeds."""
+        return "127.%d.%d.%d" % (self.seed % 250 + 1, self.seed // 250 % 250, number + 1)
+
+    def free_ports(self):
+        """Ports below the ephemeral range, which connections cannot take meanwhile."""
+        found = []
+        for port in self.random.sample(range(15000, 30000), 200):
+            try:
+                for number in range(GATEWAYS):
+                    socket.create_server((self.address(number), port)).close()
+            except OSError:
+                continue
+            found.append(port)
+            if len(found) == 5:
+                break
+        return dict(zip(("traffic", "ready", "lookup", "peer", "gossip"), found))
 
     def control(self, query, body=""):
         call = http.client.HTTPConnection("127.0.0.1", self.store_port, timeout=5)
@@ -257,6 +270,9 @@
                 if self.random.random() < 0.25:
                     self.fault()
             self.heal()
+            for gateway in self.gateways:
+                if gateway.child.poll() not in (None, 0, -signal.SIGKILL):
+                    self.violate(f"g{gateway.number} ended by itself with {gateway.child.returncode}")
             self.await_service(RECOVERY_S)
             self.ended = True
             for caller in callers:
