Take a removal for a departure when the store served peers meanwhile

Cause: a host that the store alone had turned away took removals just after its return for lapses and kept a leaving worker for 2 s, while its peers had been served all along. Change: news of a connected peer prove that the store was not away. Test: 'removals around an outage may be lapses, unless others were served' (the case 'a peer had news meanwhile' is what the old code got wrong). Ruled out: a slow feed; the host heard the removal 0.12 s after its acknowledgement.

--- a/scripts/local/soak.py
+++ b/scripts/local/soak.py
@@ -40,6 +40,7 @@
         self.run = 0
         self.faults = []  # (time, kind) of what was done to it.
         self.child = None
+        self.lock = threading.Lock()
         self.log = open(world.directory / f"gateway-{number}.log", "ab")
 
     def settings(self):
@@ -206,8 +207,10 @@
                 self.violate(f"g{gateway.number} outlived its grace period")
                 gateway.child.kill()
                 gateway.child.wait()
-            if not self.ended:
-                gateway.start()
+            with gateway.lock:
+                # An overlapping restart may have been first.
+                if not self.ended and gateway.child.poll() is not None:
+                    gateway.start()
         threading.Thread(target=again, daemon=True).start()
 
     def pause(self, gateway):
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -14,9 +14,6 @@
 //! A feed of the own usually brings the change as soon as a peer's, so a peer
 //! is asked only if it is still ahead after this time.
 constexpr std::chrono::milliseconds PeerDelay{250};
-//! Time after the return of the store in which missing registrations may be
-//! lapses of the outage.
-constexpr Duration LapseWindow = std::chrono::seconds(2);
 
 const char *tableName(StoreTable Table) {
   return Table == StoreTable::Operator ? "operator" : "workers";
@@ -166,7 +163,7 @@
     return std::nullopt;
   PeerUpdate Update;
   Update.Version = Copy.version();
-  Update.MayBeLapses = afterOutage(Of);
+  Update.MayBeLapses = Of.Follower.mayBeLapses(State.now());
   if (auto Changes = Copy.changesSince(Question.After)) {
     Update.Changes = std::move(*Changes);
     return Update;
@@ -202,19 +199,14 @@
                     {{"table", tableName(Of.Table)},
                      {"version", Of.Follower.table().version()}});
   }
-  apply(Of, Changes, "store", afterOutage(Of));
+  apply(Of, Changes, "store", Of.Follower.mayBeLapses(State.now()));
   run(Of);
 }
 
-bool StoreSync::afterOutage(const Feed &Of) const {
-  if (!Of.Follower.isConnected())
-    return true;
-  return Of.Follower.reconnectedAt() != Instant() &&
-         State.now() - Of.Follower.reconnectedAt() < LapseWindow;
-}
-
 void StoreSync::apply(Feed &Of, const std::vector<RowChange> &Changes,
                       std::string_view Source, bool MayBeLapses) {
+  if (Source == "peer" && !MayBeLapses && !Changes.empty())
+    Of.Follower.heardFromConnectedPeer(State.now());
   Removed.clear();
   for (const RowChange &Each : Changes) {
     Of.LastChange = std::max(Of.LastChange, Each.Row.Version);
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -83,7 +83,6 @@
   const Feed &feed(StoreTable Table) const {
     return Table == StoreTable::Operator ? OperatorFeed : WorkerFeed;
   }
-  bool afterOutage(const Feed &Of) const;
 
   GatewayState &State;
   const PlatformPort &Port;
--- a/src/masticgap/coordination/replica/table_follower.cpp
+++ b/src/masticgap/coordination/replica/table_follower.cpp
@@ -4,6 +4,18 @@
 
 namespace masticgap::coordination {
 
+namespace {
+
+//! Time after the return of the store in which registrations that lapsed come
+//! back.
+constexpr Duration LapseWindow = std::chrono::seconds(2);
+//! Changes from before an outage reach a host through peers within this time.
+constexpr Duration PeerLag = std::chrono::seconds(1);
+//! News of a peer prove that the store serves others for this time.
+constexpr Duration PeerNewsLife = std::chrono::seconds(6);
+
+} // namespace
+
 FollowerCall TableFollower::nextCall(Instant Now) {
   if (Now < NotBefore)
     return PauseUntil{NotBefore};
@@ -59,9 +71,20 @@
   std::uniform_real_distribution<double> Jitter(0.5, 1.0);
   NotBefore =
       Now + std::chrono::duration_cast<Duration>(Longest * Jitter(Random));
+  if (Failures == 0)
+    Lost = Now;
   ++Failures;
 }
 
+bool TableFollower::mayBeLapses(Instant Now) const {
+  const bool Back = isConnected();
+  if (Back && (Reconnected == Instant() || Now - Reconnected >= LapseWindow))
+    return false;
+  const bool OthersServed =
+      PeerNews && *PeerNews - Lost > PeerLag && Now - *PeerNews < PeerNewsLife;
+  return !OthersServed;
+}
+
 std::vector<RowChange>
 TableFollower::peerChanges(std::span<const RowChange> Changes,
                            std::uint64_t Version) {
--- a/src/masticgap/coordination/replica/table_follower.hpp
+++ b/src/masticgap/coordination/replica/table_follower.hpp
@@ -4,6 +4,7 @@
 #include "masticgap/state/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <variant>
 #include <vector>
@@ -68,8 +69,12 @@
   const ReplicatedTable &table() const { return Copy; }
   //! Whether the last call was answered.
   bool isConnected() const { return Failures == 0 && AnsweredOnce; }
-  //! Last time at which an answer ended a series of failures.
-  Instant reconnectedAt() const { return Reconnected; }
+  //! A peer told changes that were news and that it had from the store.
+  void heardFromConnectedPeer(Instant Now) { PeerNews = Now; }
+  //! Whether a removal may be a registration that lapsed while the store was
+  //! away: the store does not answer, or answers again only since a moment. It
+  //! was not away if it gave a peer news meanwhile.
+  bool mayBeLapses(Instant Now) const;
 
 private:
   void answered(Instant Now);
@@ -82,7 +87,9 @@
   unsigned Failures = 0;
   unsigned GoneInRow = 0;
   Instant NotBefore;
-  Instant Reconnected;
+  Instant Lost;        //!< When the present or last series of failures began.
+  Instant Reconnected; //!< When an answer ended it.
+  std::optional<Instant> PeerNews;
 };
 
 } // namespace masticgap::coordination
--- a/tests/coordination/replica/table_follower.tests.cpp
+++ b/tests/coordination/replica/table_follower.tests.cpp
@@ -83,7 +83,40 @@
   CHECK(Longest >= 1s);
   Follower.changesDone({}, 10, Now);
   CHECK(Follower.isConnected());
-  CHECK(Follower.reconnectedAt() == Now);
+}
+
+// Guards against a worker that is kept after it left, because a host that the
+// store turned away alone takes the removal for a lapse.
+TEST_CASE(
+    "removals around an outage may be lapses, unless others were served") {
+  struct Case {
+    const char *Name;
+    Duration Asked;                   //!< After the loss.
+    std::optional<Duration> PeerNews; //!< After the loss.
+    std::optional<Duration> Back;     //!< After the loss.
+    bool Expected;
+  };
+  const Case Cases[] = {
+      {"during the outage", 5s, std::nullopt, std::nullopt, true},
+      {"just after the return", 6s, std::nullopt, 5s, true},
+      {"long after the return", 8s, std::nullopt, 5s, false},
+      {"a peer had news meanwhile", 6s, 4s, 5s, false},
+      {"a peer had news from before", 6s, 500ms, 5s, true},
+      {"a peer has news during the outage", 5s, 3s, std::nullopt, false},
+      {"a peer had news long ago", 12s, 3s, 11s, true},
+  };
+  for (const auto &C : Cases) {
+    CAPTURE(C.Name);
+    TableFollower Follower = loaded(Start);
+    CHECK_FALSE(Follower.mayBeLapses(Start));
+    Follower.failed(StoreFailure::Unavailable, Start);
+    Follower.failed(StoreFailure::Unavailable, Start + 1s);
+    if (C.PeerNews)
+      Follower.heardFromConnectedPeer(Start + *C.PeerNews);
+    if (C.Back)
+      Follower.changesDone({}, 10, Start + *C.Back);
+    CHECK(Follower.mayBeLapses(Start + C.Asked) == C.Expected);
+  }
 }
 
 TEST_CASE("a peer's copy is taken only if it is not behind") {
