Count requests in flight beyond the life of the gateway's state

Cause: requests that are left at the end are destroyed by the io_context, after the state that they counted in (address sanitizer, heap-use-after-free in ~RequestFlow, gateway-tests). The test that failed is 'what a worker does decides what the caller gets' under the address sanitizer.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -343,7 +343,7 @@
 GatewayDaemon::answerMetrics(const transport::HttpRequest &Request) const {
   std::vector<std::pair<std::string, double>> Gauges{
       {"config_version", static_cast<double>(State.configVersion())},
-      {"requests_in_flight", State.InFlight},
+      {"requests_in_flight", *State.InFlight},
       {"store_connected", Sync.isConnected() ? 1 : 0},
       {"log_lines_dropped", static_cast<double>(State.Log.dropped())},
       {"caller_connections",
@@ -394,7 +394,7 @@
   if (std::exchange(Stopping, true))
     return;
   State.Log.write(LogClass::Decision, "stopping",
-                  {{"in_flight", State.InFlight},
+                  {{"in_flight", *State.InFlight},
                    {"connections", static_cast<std::uint64_t>(
                                        Servers->Traffic->openConnections())}});
   State.StopAt = State.now() + Settings.GracePeriod - StopReserve -
@@ -418,7 +418,7 @@
     if (Failure)
       return;
     State.Log.write(LogClass::Decision, "grace_over",
-                    {{"in_flight", State.InFlight}});
+                    {{"in_flight", *State.InFlight}});
     Servers->Traffic->endRequests();
     StopTimer.expires_after(AnswerReserve);
     StopTimer.async_wait([this](boost::system::error_code Cancelled) {
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -40,7 +40,9 @@
   coordination::Dispatcher Dispatch;
   coordination::SplitSchedule Splits;
   transport::WorkerConnectionPool Connections;
-  unsigned InFlight = 0; //!< Requests being served.
+  //! Requests being served. Shared, because the io_context destroys requests
+  //! that are left at the end after this object.
+  std::shared_ptr<unsigned> InFlight = std::make_shared<unsigned>(0);
   //! End of a planned stop: every request is answered before it.
   std::optional<Instant> StopAt;
 };
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -100,11 +100,12 @@
 
 RequestFlow::RequestFlow(GatewayState &State, entry::CallerConnection &Caller,
                          GatewayRequest &Request)
-    : State(State), Caller(Caller), Request(Request), Began(State.now()) {
-  ++State.InFlight;
+    : State(State), Caller(Caller), Request(Request), InFlight(State.InFlight),
+      Began(State.now()) {
+  ++*InFlight;
 }
 
-RequestFlow::~RequestFlow() { --State.InFlight; }
+RequestFlow::~RequestFlow() { --*InFlight; }
 
 asio::awaitable<void> RequestFlow::serve() {
   Id = view(Request.Head[State.Wire.RequestIdField]);
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -108,6 +109,7 @@
   GatewayState &State;
   entry::CallerConnection &Caller;
   GatewayRequest &Request;
+  std::shared_ptr<unsigned> InFlight; //!< Counts this request.
   transport::AttemptControl Control;
   std::shared_ptr<const TrafficConfig> Config; //!< In force at the arrival.
   const Route *Way = nullptr;
