Reuse connections only of workers that name the request in each answer

Cause: an answer without a request id that arrived between the check of an idle connection and the read was taken for the answer of the next request; seen once under the address sanitizer. HTTP/1.1 gives no other way to tell the two.

An answer without an id on a connection that carried another request is not an answer any more, and a connection is kept only after an answer that named its request. Workers that name none get a connection for each request. The stand-in worker names them.

Test: "an unnamed answer on a used connection is not an answer", with the order that the race needs.

--- a/src/masticgap/transport/worker_connection_pool.hpp
+++ b/src/masticgap/transport/worker_connection_pool.hpp
@@ -43,6 +43,7 @@
     ~Lease();
 
     WorkerConnection &connection() { return *Connection; }
+    const WorkerConnection &connection() const { return *Connection; }
 
     //! A whole answer was read and nothing is left on the connection: it may
     //! carry another request.
--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -297,10 +297,11 @@
 WorkerExchange::checkHead(std::string_view RequestId) const {
   const auto &Head = Answer->get().base();
   // An echoed id of another request proves that this answer belongs to that
-  // request.
+  // request. On a connection that carried another request, one without an id
+  // may be a late answer to that.
   const auto Echo = Head[Options.Dialect->RequestIdField];
   const std::string_view EchoText(Echo.data(), Echo.size());
-  if (!EchoText.empty() && EchoText != RequestId)
+  if (EchoText.empty() ? Lease->connection().Reused : EchoText != RequestId)
     return End::ConnectionLost;
   if (const auto Refusal = Options.Dialect->Refusal(Head))
     return Refusal;
@@ -343,7 +344,10 @@
 
 void WorkerExchange::finish() {
   Done = true;
-  const bool Reusable = Answer->get().keep_alive() && !SendPending &&
+  // The next answer on the connection has to be told from a late one to this
+  // request, so a worker that does not name requests gets a connection each.
+  const bool Named = !head()[Options.Dialect->RequestIdField].empty();
+  const bool Reusable = Named && Answer->get().keep_alive() && !SendPending &&
                         !Answer->need_eof() &&
                         Lease->connection().Buffer.size() == 0;
   if (const auto Stated = statedIdleLimit(head()))
--- a/standins/worker/worker.cpp
+++ b/standins/worker/worker.cpp
@@ -24,6 +24,13 @@
   return {Value.data(), Value.size()};
 }
 
+//! Names the request in its answer, so that a late answer is told from others.
+void nameRequest(HttpResponse &Answer, const HttpRequest &Request) {
+  constexpr char Field[] = "Masticgap-Request-Id";
+  if (const std::string Id = header(Request, Field); !Id.empty())
+    Answer.set(Field, Id);
+}
+
 transport::HttpServerLimits limits() {
   transport::HttpServerLimits Limits;
   Limits.MaxBodyBytes = 64 * 1024 * 1024;
@@ -116,6 +123,7 @@
   Body["padding"] = std::string(Settings.AnswerBytes, 'x');
   HttpResponse Answer = transport::jsonResponse(Request, http::status::ok,
                                                 boost::json::serialize(Body));
+  nameRequest(Answer, Request);
   Answer.set("Worker-Load",
              std::to_string(Fault.ReportedInUse.value_or(InUse)) + "/" +
                  std::to_string(Settings.Slots));
@@ -130,6 +138,7 @@
   HttpResponse Answer =
       transport::errorResponse(Request, http::status::service_unavailable,
                                "refused", "the worker takes no new work now");
+  nameRequest(Answer, Request);
   Answer.set("Worker-Refused", Reason);
   respondAfter(roundTrip(Request), std::move(Answer), Respond);
 }
--- a/tests/common/fake_worker.cpp
+++ b/tests/common/fake_worker.cpp
@@ -26,8 +26,18 @@
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::seconds WaitLimit{60};
 
+constexpr const char *RequestIdField = "Masticgap-Request-Id";
+
+//! Answer that names its request.
+HttpResponse emptyAnswer(http::status Status, const HttpRequest &Request) {
+  HttpResponse Answer(Status, 11);
+  if (const auto Id = Request[RequestIdField]; !Id.empty())
+    Answer.set(RequestIdField, Id);
+  return Answer;
+}
+
 HttpResponse answerTo(const HttpRequest &Request) {
-  HttpResponse Answer(http::status::ok, 11);
+  HttpResponse Answer = emptyAnswer(http::status::ok, Request);
   Answer.set("Worker-Load", "1/4");
   Answer.body() = "answer to " + std::string(Request.target()) + " " +
                   std::string(Request["Idempotency-Key"]);
@@ -37,8 +47,8 @@
   return Answer;
 }
 
-HttpResponse refusal(const char *Why) {
-  HttpResponse Answer(http::status::service_unavailable, 11);
+HttpResponse refusal(const HttpRequest &Request, const char *Why) {
+  HttpResponse Answer = emptyAnswer(http::status::service_unavailable, Request);
   Answer.set("Worker-Refused", Why);
   Answer.body() = "refused";
   Answer.prepare_payload();
@@ -55,9 +65,12 @@
          "\r\n\r\n" + std::string(Announced / 2, 'x');
 }
 
-std::string chunked() {
+std::string chunked(const HttpRequest &Request) {
   constexpr std::size_t Chunk = 64 * 1024;
-  std::string Text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string Text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+  if (const auto Id = Request[RequestIdField]; !Id.empty())
+    Text += std::string(RequestIdField) + ": " + std::string(Id) + "\r\n";
+  Text += "\r\n";
   for (std::size_t Sent = 0; Sent < FakeWorker::LargeBytes; Sent += Chunk)
     Text += "10000\r\n" + std::string(Chunk, 'y') + "\r\n";
   return Text + "0\r\n\r\n";
@@ -183,10 +196,10 @@
   case Reaction::Answer:
     break;
   case Reaction::RefuseFull:
-    Answer = refusal("full");
+    Answer = refusal(Request, "full");
     break;
   case Reaction::RefuseLeaving:
-    Answer = refusal("leaving");
+    Answer = refusal(Request, "leaving");
     break;
   case Reaction::ResetUnread:
   case Reaction::ResetRead:
@@ -202,7 +215,7 @@
     co_await sendText(Connection, "HTTP/1.1 200 OK\r\n\r\nhello");
     co_return false;
   case Reaction::AnswerLarge:
-    co_await sendText(Connection, chunked());
+    co_await sendText(Connection, chunked(Request));
     co_return true;
   case Reaction::Silent:
   case Reaction::Hold: {
@@ -214,12 +227,16 @@
   case Reaction::AnswerTwice: {
     HttpResponse Second = Answer;
     co_await send(Connection, std::move(Second));
+    Answer.erase(RequestIdField);
     Answer.body() = "stray";
     Answer.prepare_payload();
     break;
   }
+  case Reaction::AnswerUnnamed:
+    Answer.erase(RequestIdField);
+    break;
   case Reaction::AnswerForOther:
-    Answer.set("Masticgap-Request-Id", "another");
+    Answer.set(RequestIdField, "another");
     break;
   case Reaction::CloseQuietly:
     co_await send(Connection, std::move(Answer));
--- a/tests/common/fake_worker.hpp
+++ b/tests/common/fake_worker.hpp
@@ -31,7 +31,8 @@
   TruncateLarge,  //!< Announces a large answer and sends half of it.
   Hold,           //!< Answers after release().
   Silent,         //!< Never answers.
-  AnswerTwice,    //!< Sends another answer after the first one.
+  AnswerTwice,    //!< Sends another, unnamed answer after the first one.
+  AnswerUnnamed,  //!< The answer does not name its request.
   AnswerForOther, //!< The answer has the request id of another request.
   CloseQuietly,   //!< Answers with keep-alive and closes the connection.
   AnswerLarge,    //!< Sends LargeBytes in chunks.
--- a/tests/transport/worker_exchange.tests.cpp
+++ b/tests/transport/worker_exchange.tests.cpp
@@ -150,6 +150,26 @@
     CHECK(E.Body == "answer to /x ");
 }
 
+// Without a name in each answer, a late answer to an earlier request could be
+// taken for the next one.
+TEST_CASE("a worker that does not name requests gets a connection for each") {
+  FakeWorker Worker({Reaction::AnswerUnnamed});
+  Exchanges E;
+  CHECK((E.run(Worker.endpoint()) == AttemptEnd::Answered));
+  CHECK(E.Pool.openConnections() == 0);
+  CHECK((E.run(Worker.endpoint()) == AttemptEnd::Answered));
+  CHECK(Worker.connections() == 2);
+}
+
+// The late answer arrives after the check that the connection is quiet.
+TEST_CASE("an unnamed answer on a used connection is not an answer") {
+  FakeWorker Worker({Reaction::Answer, Reaction::AnswerUnnamed});
+  Exchanges E;
+  CHECK((E.run(Worker.endpoint()) == AttemptEnd::Answered));
+  CHECK((E.run(Worker.endpoint()) == AttemptEnd::ConnectionLost));
+  CHECK(E.Pool.openConnections() == 0);
+}
+
 TEST_CASE("connections are reused within the limits of their evidence") {
   struct Case {
     const char *Name;
