Stop requests that crash their workers, on all hosts

Cause: a request that crashes each worker was bounded by its route's attempts only; its caller could send it again at any host, without end.

A connection that ends before the answer is followed by a check whether the worker still accepts connections, which the next request then uses. A refused check counts as the death of the worker, and the product's quarantine, which masticgap-entry has, stops the request after two deaths and tells all hosts by rumor. Ruled out: counting lost answers alone, since workers that go on lose some.

Test: "a request that crashes its workers is stopped on all hosts", with lost answers as the case that must not be stopped.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -212,6 +212,12 @@
     Stream.cancel();
 }
 
+std::string CallerConnection::address() const {
+  beast::error_code Failure;
+  const auto Peer = Stream.socket().remote_endpoint(Failure);
+  return Failure ? std::string() : Peer.address().to_string();
+}
+
 void CallerConnection::close() {
   Broken = true;
   beast::error_code Ignored;
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -63,6 +63,8 @@
   void watch(std::function<void()> OnGone);
   void unwatch() { OnGone = {}; }
 
+  //! IP number of the caller; empty when it is not connected.
+  std::string address() const;
   //! Whether another request may follow on the connection.
   bool isReusable() const;
   bool keepsAlive() const { return Parser && Parser->get().keep_alive(); }
--- a/src/entry/request_check.cpp
+++ b/src/entry/request_check.cpp
@@ -1,8 +1,7 @@
 #include "entry/request_check.hpp"
 
 #include "masticgap/transport/http_types.hpp"
-
-#include <xxhash.h>
+#include "masticgap/transport/request_fingerprint.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -56,20 +55,6 @@
   return std::find(Listed.begin(), Listed.end(), Text) != Listed.end();
 }
 
-coordination::Fingerprint fingerprint(const CallerRequest &Request) {
-  // The length prefixes keep the parts apart. Of a large body only the part
-  // that is in memory and the stated length are covered.
-  std::string Parts(text(Request.Head.method_string()));
-  Parts += '\n';
-  Parts += text(Request.Head.target());
-  Parts += '\n';
-  if (Request.Streamed)
-    Parts += text(Request.Head[http::field::content_length]);
-  Parts += '\n';
-  const std::uint64_t Head = XXH3_64bits(Parts.data(), Parts.size());
-  return {XXH3_64bits_withSeed(Request.Body.data(), Request.Body.size(), Head)};
-}
-
 std::optional<Refusal> readDeadline(CallerRequest &Request,
                                     const ConfigDocument &Config,
                                     const ServiceConfig *Service, Instant Now) {
@@ -143,7 +128,8 @@
       Found == Config.Services.end() ? nullptr : &Found->second;
   Request.Forwarded = !field(Request.Head, ForwardedField).empty();
   Request.Repeatable = isRepeatable(Request.Head, Service);
-  Request.Print = fingerprint(Request);
+  Request.Print = transport::requestFingerprint(Request.Head, Request.Body,
+                                                Request.Streamed);
   if (auto Why = readDeadline(Request, Config, Service, Now))
     return Why;
   return Request.Repeatable ? std::nullopt : readKey(Request);
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -130,6 +130,10 @@
   Sync.start(*Servers->Peers, [this] {
     return Gossip ? Gossip->members() : std::span<const MemberRecord>();
   });
+  State.Crashes.setSpread([this](const Rumor &What) {
+    if (Gossip)
+      Gossip->spread(What);
+  });
   armTick();
   return {};
 }
@@ -160,6 +164,9 @@
     if (Peer.Host.Id != Settings.Host)
       Sync.peerProgressed(Peer);
   };
+  Callbacks.RumorLearned = [this](const TimedRumor &Learned) {
+    State.Crashes.learned(Learned.What, State.now());
+  };
   Callbacks.SelfSuperseded = [this](const MemberRecord &Newer) {
     // The wall clock went back since this host's last run, so peers know a
     // later incarnation; this run takes the next one.
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -33,7 +33,8 @@
       Random(Seed), Dispatch(dispatcherSettings(Settings), transport::now()),
       Splits(Seed + 2),
       Connections(
-          Io, [] { return transport::now(); }, Settings.Traffic.Address) {
+          Io, [] { return transport::now(); }, Settings.Traffic.Address),
+      Crashes(Io, Connections, Dispatch, Log, Measured) {
   Limits.MaxCallers = Settings.MaxCallers;
 }
 
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/settings.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/decision_log.hpp"
 #include "gateway/metrics.hpp"
 #include "gateway/platform_port.hpp"
@@ -40,6 +41,7 @@
   coordination::Dispatcher Dispatch;
   coordination::SplitSchedule Splits;
   transport::WorkerConnectionPool Connections;
+  CrashWatch Crashes;
   //! Requests being served. Shared, because the io_context destroys requests
   //! that are left at the end after this object.
   std::shared_ptr<unsigned> InFlight = std::make_shared<unsigned>(0);
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -102,6 +102,7 @@
   outgoing(const coordination::WorkerPick &Pick) const;
   boost::asio::awaitable<void> finish(Ending End);
   boost::asio::awaitable<void> write(const OwnAnswer &Answer);
+  void logRejection(std::string_view Reason, Duration Wait, Instant Now);
   void logAttempt(const coordination::WorkerPick &Pick, std::string_view Result,
                   Instant Sent);
   void logEnd(const Ending &End);
@@ -115,6 +116,8 @@
   const Route *Way = nullptr;
   ServiceName Service;
   std::string Id;
+  coordination::Fingerprint
+      Print; //!< Recognises the request when it is sent again.
   std::uint64_t Object = 0;
   Instant Began;
   Instant Until; //!< No answer is due after it.
--- /dev/null
+++ b/src/gateway/request_log.cpp
@@ -0,0 +1,84 @@
+// Log lines and metrics of a request.
+#include "gateway/request_flow.hpp"
+
+#include <string>
+
+namespace masticgap::gateway {
+
+using namespace coordination;
+
+namespace {
+
+double milliseconds(Duration Time) {
+  return std::chrono::duration<double, std::milli>(Time).count();
+}
+
+} // namespace
+
+void RequestFlow::logRejection(std::string_view Reason, Duration Wait,
+                               Instant Now) {
+  State.Log.write(LogClass::Decision, "rejected",
+                  {{"id", Id},
+                   {"route", Way->Name},
+                   {"service", Service.value()},
+                   {"reason", Reason},
+                   {"wait_ms", milliseconds(Wait)},
+                   {"usable", static_cast<std::uint64_t>(
+                                  State.Dispatch.usable(Service, Now))},
+                   {"version", Config->Version}});
+}
+
+void RequestFlow::logAttempt(const WorkerPick &Pick, std::string_view Result,
+                             Instant Sent) {
+  State.Measured.count("attempts_failed", Result);
+  State.Log.write(LogClass::Decision, "attempt",
+                  {{"id", Id},
+                   {"route", Way->Name},
+                   {"worker", Pick.Worker.Id.value()},
+                   {"domain", Pick.Worker.Domain.value()},
+                   {"result", std::string(Result)},
+                   {"ms", milliseconds(State.now() - Sent)},
+                   {"expected_ms", milliseconds(Pick.Expected)},
+                   {"occupancy", Pick.Occupancy},
+                   {"rank", static_cast<std::uint64_t>(Pick.Rank)},
+                   {"cold", Pick.Cold},
+                   {"arrivals", Arrivals}});
+}
+
+void RequestFlow::logEnd(const Ending &End) {
+  std::string Outcome = "answered";
+  unsigned Status = 0;
+  bool Routine = true;
+  if (const auto *Own = std::get_if<OwnAnswer>(&End)) {
+    Outcome = Own->Reason;
+    Status = static_cast<unsigned>(Own->Status);
+    Routine = false;
+  } else if (std::holds_alternative<CutOff>(End)) {
+    Outcome = "cut_off";
+    Routine = false;
+  } else if (std::holds_alternative<Abandoned>(End)) {
+    Outcome = "caller_left";
+  } else {
+    Status = std::get<Delivered>(End).Status;
+    Routine = Status < 500;
+  }
+  const std::string Name = Way ? Way->Name : std::string("none");
+  State.Measured.count("requests", Outcome);
+  State.Measured.observe(Stage::Whole, Name, State.now() - Began);
+  if (Routine && !State.Settings.LogRequests)
+    return;
+  State.Log.write(Routine ? LogClass::Routine : LogClass::Decision, "request",
+                  {{"id", Id},
+                   {"route", Name},
+                   {"service", Service.value()},
+                   {"outcome", Outcome},
+                   {"status", Status},
+                   {"ms", milliseconds(State.now() - Began)},
+                   {"worker", Tried.empty() ? "" : Tried.back().value()},
+                   {"arrivals", Arrivals},
+                   {"may_have_run", MayHaveRun},
+                   {"own_share", Way ? State.Dispatch.ownShare(Service) : 1.0},
+                   {"version", Config ? Config->Version : 0}});
+}
+
+} // namespace masticgap::gateway
--- a/src/masticgap/coordination/attempt_result.hpp
+++ b/src/masticgap/coordination/attempt_result.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <string_view>
 
 namespace masticgap::coordination {
 
@@ -28,4 +29,27 @@
          End == AttemptEnd::ConnectFailed;
 }
 
+//! Name for logs and metrics.
+constexpr std::string_view toString(AttemptEnd End) {
+  switch (End) {
+  case AttemptEnd::Answered:
+    return "answered";
+  case AttemptEnd::RefusedFull:
+    return "refused_full";
+  case AttemptEnd::RefusedLeaving:
+    return "misdirected";
+  case AttemptEnd::ConnectFailed:
+    return "connect_failed";
+  case AttemptEnd::TimedOut:
+    return "timed_out";
+  case AttemptEnd::ConnectionLost:
+    return "connection_lost";
+  case AttemptEnd::Truncated:
+    return "truncated";
+  case AttemptEnd::Cancelled:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/dispatch/dispatcher.cpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.cpp
@@ -337,6 +337,12 @@
   Records[Worker].reported(Report, Now);
 }
 
+void Dispatcher::died(const WorkerId &Worker, Instant Now) {
+  Records[Worker].unreachable(Now);
+  if (const KnownWorker *Known = Directory.find(Worker))
+    Directory.suspectRestart(Worker, coldStart(Known->Worker.Service), Now);
+}
+
 bool Dispatcher::tryRetry(const ServiceName &Service, Instant Now) {
   return lane(Service, Now).Retries.tryWithdraw(Hosts.size(), Now);
 }
--- a/src/masticgap/coordination/dispatch/dispatcher.hpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.hpp
@@ -101,6 +101,8 @@
   void ended(const WorkerPick &Pick, WorkerVerdict Verdict, Duration Latency,
              Instant Now);
   void reported(const WorkerId &Worker, const QueueReport &Report, Instant Now);
+  //! The worker's process is gone.
+  void died(const WorkerId &Worker, Instant Now);
   //! Takes a retry from the service's budget.
   bool tryRetry(const ServiceName &Service, Instant Now);
 
--- a/tests/common/scripted_worker.cpp
+++ b/tests/common/scripted_worker.cpp
@@ -78,6 +78,10 @@
       Requests.push_back(Seen);
     }
     std::string Answer = Answers(Number, Seen);
+    if (Answer == Crash) {
+      ::shutdown(Acceptor.native_handle(), SHUT_RDWR);
+      Answer = Reset;
+    }
     if (Answer.ends_with(Reset)) {
       Answer.resize(Answer.size() - std::string_view(Reset).size());
       asio::write(*Connection, asio::buffer(Answer), Failure);
--- a/tests/common/scripted_worker.hpp
+++ b/tests/common/scripted_worker.hpp
@@ -26,7 +26,8 @@
 public:
   //! Makes the bytes of the answer to the request of that number, from 0. A
   //! connection is closed after an answer that ends with Close, and reset
-  //! without any byte for Reset; Silent holds it open.
+  //! without any byte for Reset; Silent holds it open. After Crash no further
+  //! connection is accepted either.
   using Script = std::function<std::string(std::size_t, const SeenRequest &)>;
 
   explicit ScriptedWorker(Script Answers);
@@ -39,6 +40,7 @@
 
   static constexpr const char *Close = "\x01close";
   static constexpr const char *Reset = "\x01reset";
+  static constexpr const char *Crash = "\x01crash";
   static constexpr const char *Silent = "\x01silent";
 
 private:
--- a/tests/gateway/gateway_daemon.tests.cpp
+++ b/tests/gateway/gateway_daemon.tests.cpp
@@ -254,6 +254,60 @@
         std::chrono::milliseconds(1900));
 }
 
+// Guards against a request that takes down one worker after the other, because
+// its caller sends it again at any host. A lost answer alone, from a worker
+// that goes on, is no reason to stop a request.
+TEST_CASE("a request that crashes its workers is stopped on all hosts") {
+  struct Case {
+    const char *Name;
+    const char *Reaction;
+    bool Stopped;
+  };
+  for (const Case &C : {Case{"crash", ScriptedWorker::Crash, true},
+                        Case{"lost answer", ScriptedWorker::Reset, false}}) {
+    CAPTURE(C.Name);
+    const auto Answers = [&](std::size_t, const SeenRequest &Seen) {
+      return Seen.Head.find("/unsafe/bad") != std::string::npos
+                 ? std::string(C.Reaction)
+                 : workerAnswer(200, "id-1", "whole");
+    };
+    ScriptedWorker Workers[4]{ScriptedWorker(Answers), ScriptedWorker(Answers),
+                              ScriptedWorker(Answers), ScriptedWorker(Answers)};
+    const auto Arrived = [&] {
+      std::size_t Count = 0;
+      for (const ScriptedWorker &Each : Workers)
+        for (const SeenRequest &Seen : Each.seen())
+          Count += Seen.Head.find("/unsafe/bad") != std::string::npos;
+      return Count;
+    };
+    GatewayFixture A;
+    for (int I = 0; I < 4; ++I)
+      A.putWorker("w" + std::to_string(I), Workers[I].endpoint());
+    A.putConfig(1);
+    A.start();
+    A.awaitReady();
+    GatewayFixture B(A);
+    B.start();
+    B.awaitReady();
+    const auto IsStopped = [](GatewayFixture &At) {
+      const auto Answer = At.send("/unsafe/bad", "body", "id-1");
+      return Answer && Answer->body().find("quarantined") != std::string::npos;
+    };
+    if (!C.Stopped) {
+      for (int I = 0; I < 6; ++I)
+        CHECK_FALSE(IsStopped(A));
+      CHECK(Arrived() == 6);
+      continue;
+    }
+    CHECK(eventually([&] { return IsStopped(A); }));
+    CHECK(eventually([&] { return IsStopped(B); }));
+    CHECK(Arrived() <= 3);
+    CHECK(A.send("/safe/x")->result_int() == 200);
+    // Another request of the same route is not concerned.
+    CHECK(A.send("/unsafe/good", "body")->result_int() == 200);
+  }
+}
+
 // Guards against requests that a planned stop cuts off.
 TEST_CASE("a planned stop finishes what it has read and leaves look-ups") {
   std::atomic<bool> Release = false;
