--- a/src/masticgap/coordination/event.cpp
+++ b/src/masticgap/coordination/event.cpp
@@ -31,6 +31,7 @@
     KindName{EventKind::ConfigInForce, "config_in_force"},
     KindName{EventKind::LinkGranted, "link_granted"},
     KindName{EventKind::PlacementChanged, "placement_changed"},
+    KindName{EventKind::Decision, "decision"},
 };
 
 } // namespace
--- a/src/masticgap/coordination/event.hpp
+++ b/src/masticgap/coordination/event.hpp
@@ -28,7 +28,8 @@
   ConfigAccepted,
   ConfigInForce,
   LinkGranted,
-  PlacementChanged
+  PlacementChanged,
+  Decision //!< Any other, named by the first word of its detail.
 };
 
 //! Name as used in JSON, for example "request_received".
--- a/src/timeline/event_filter.hpp
+++ b/src/timeline/event_filter.hpp
@@ -2,6 +2,7 @@
 
 #include "masticgap/coordination/event.hpp"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -23,4 +24,12 @@
 std::vector<coordination::Event>
 mergeEvents(std::vector<coordination::Event> Events, const EventFilter &Filter);
 
+//! Puts events into causal order and keeps those that may explain how a request
+//! ended: its own, those of its workers on all hosts but for answered
+//! requests, and changes of what its hosts believe.
+//! \param Before time before the request's first event, and after its last.
+std::vector<coordination::Event>
+explainRequest(std::vector<coordination::Event> Events,
+               const RequestId &Request, std::chrono::milliseconds Before);
+
 } // namespace masticgap::timeline
--- a/src/timeline/event_source.cpp
+++ b/src/timeline/event_source.cpp
@@ -1,5 +1,7 @@
 #include "timeline/event_source.hpp"
 
+#include "timeline/log_line.hpp"
+
 #include "masticgap/coordination/event_json.hpp"
 #include "masticgap/state/error.hpp"
 #include "masticgap/transport/http_fetch.hpp"
@@ -28,6 +30,14 @@
 
 leaf::result<Event> parseLine(const std::string &Line, const std::string &Name,
                               std::size_t Number) {
+  if (isLogLine(Line)) {
+    if (auto E = parseLogLine(Line, Number))
+      return std::move(*E);
+    return fail(ErrorKind::Protocol,
+                Name + ": line " + std::to_string(Number) +
+                    ": no time, host or event name",
+                "give whole lines of a gateway's standard output");
+  }
   using Parsed = std::variant<Event, Error>;
   Parsed Result = leaf::try_handle_all(
       [&]() -> leaf::result<Parsed> {
--- a/src/timeline/event_source.hpp
+++ b/src/timeline/event_source.hpp
@@ -14,13 +14,13 @@
 
 namespace masticgap::timeline {
 
-//! Reads event JSON lines; empty lines are skipped.
+//! Reads event JSON lines and log lines of gateways; empty lines are skipped.
 //! \param Name file or endpoint that errors name.
 //! \returns the events, or an Error that names Name, line and remedy.
 boost::leaf::result<std::vector<coordination::Event>>
 readEvents(std::istream &In, const std::string &Name);
 
-//! Reads a file of event JSON lines.
+//! Reads a file of event JSON lines or log lines.
 boost::leaf::result<std::vector<coordination::Event>>
 readEventFile(const std::string &Path);
 
--- a/src/timeline/main.cpp
+++ b/src/timeline/main.cpp
@@ -16,6 +16,10 @@
 DEFINE_uint64(since, 0, "fetch events after this sequence number only");
 DEFINE_uint64(timeout_ms, 5000, "time limit of one fetch, in milliseconds");
 DEFINE_string(request, "", "show events of this request id only");
+DEFINE_uint64(explain_ms, 0,
+              "with --request, also show what may explain its end: other "
+              "events of its workers and hosts up to so many milliseconds "
+              "before and after it");
 DEFINE_string(worker, "", "show events of this worker only");
 DEFINE_string(host, "", "show events by or about this host only");
 DEFINE_string(change, "", "show events of this configuration change only");
@@ -39,7 +43,8 @@
   if (Files.empty() && Admins.empty())
     return leaf::new_error(
         Error{ErrorKind::InvalidSettings, "no events to read",
-              "give files of event JSON lines or --from=ip:port,..."});
+              "give files of event JSON lines or log lines, or "
+              "--from=ip:port,..."});
   Events All;
   for (const char *Path : Files) {
     BOOST_LEAF_AUTO(Part, readEventFile(Path));
@@ -54,10 +59,18 @@
   return All;
 }
 
+//! The events that the options ask for, in causal order.
+Events select(Events All) {
+  if (FLAGS_explain_ms > 0 && !FLAGS_request.empty())
+    return explainRequest(std::move(All), RequestId(FLAGS_request),
+                          std::chrono::milliseconds(FLAGS_explain_ms));
+  return mergeEvents(std::move(All),
+                     {FLAGS_request, FLAGS_worker, FLAGS_host, FLAGS_change});
+}
+
 leaf::result<int> run(std::span<char *const> Files) {
   BOOST_LEAF_AUTO(All, collect(Files));
-  const Events Shown = mergeEvents(
-      std::move(All), {FLAGS_request, FLAGS_worker, FLAGS_host, FLAGS_change});
+  const Events Shown = select(std::move(All));
   if (FLAGS_html.empty()) {
     std::cout << textReport(Shown);
     return EXIT_SUCCESS;
@@ -76,7 +89,8 @@
 int main(int ArgCount, char **Args) {
   gflags::SetUsageMessage(
       "shows the events of several entry hosts in causal order\n"
-      "masticgap-timeline [--html=FILE] [--request=ID] [--worker=ID] "
+      "masticgap-timeline [--html=FILE] [--request=ID [--explain_ms=N]] "
+      "[--worker=ID] "
       "[--host=ID] [--change=ID] [--from=IP:PORT,...] [FILE...]");
   gflags::ParseCommandLineFlags(&ArgCount, &Args, true);
   const std::span Files(Args + 1, static_cast<std::size_t>(ArgCount - 1));
