Keep objects at a busy home, and pass it over in the same order on all hosts

Load: services at 60 % and more of what warm runs allow, and the first seconds, in which every object is cold.

A simulation of hosts and workers shows where that leads: at 125 requests a second on slots for 182 warm ones the queues grow without end, all runs being cold. Ruled out: full retry budget (near its bound), the regions' shares.

Each further rank now costs one typical latency (0.15 and only the first one before), and a run away from home 2.5 (2.0).

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -78,6 +78,7 @@
 RequestFlow::attempt(const WorkerPick &Pick) {
   const Instant Sent = State.now();
   Tried.push_back(Pick.Worker.Id);
+  Placed = Pick;
   State.Dispatch.sent(Pick, Sent);
   const OutgoingRequest Message = outgoing(Pick);
   WorkerExchange Exchange(State.Connections, [this] { return State.now(); },
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -122,6 +122,7 @@
   Instant Began;
   Instant Until; //!< No answer is due after it.
   std::vector<WorkerId> Tried;
+  std::optional<coordination::WorkerPick> Placed; //!< The last worker tried.
   unsigned Arrivals = 0; //!< Workers that may have got the request.
   unsigned Connects = 0; //!< Tries that reached no worker.
   bool MayHaveRun = false;
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -67,18 +67,24 @@
   State.Measured.observe(Stage::Whole, Name, State.now() - Began);
   if (Routine && !State.Settings.LogRequests)
     return;
-  State.Log.write(Routine ? LogClass::Routine : LogClass::Decision, "request",
-                  {{"id", Id},
-                   {"route", Name},
-                   {"service", Service.value()},
-                   {"outcome", Outcome},
-                   {"status", Status},
-                   {"ms", milliseconds(State.now() - Began)},
-                   {"worker", Tried.empty() ? "" : Tried.back().value()},
-                   {"arrivals", Arrivals},
-                   {"may_have_run", MayHaveRun},
-                   {"own_share", Way ? State.Dispatch.ownShare(Service) : 1.0},
-                   {"version", Config ? Config->Version : 0}});
+  State.Log.write(
+      Routine ? LogClass::Routine : LogClass::Decision, "request",
+      {{"id", Id},
+       {"route", Name},
+       {"service", Service.value()},
+       {"outcome", Outcome},
+       {"status", Status},
+       {"ms", milliseconds(State.now() - Began)},
+       {"worker", Placed ? Placed->Worker.Id.value() : ""},
+       {"object", Object},
+       {"rank", static_cast<std::uint64_t>(Placed ? Placed->Rank : 0)},
+       {"occupancy", Placed ? Placed->Occupancy : 0.0},
+       {"expected_ms", Placed ? milliseconds(Placed->Expected) : 0.0},
+       {"cold", Placed && Placed->Cold},
+       {"arrivals", Arrivals},
+       {"may_have_run", MayHaveRun},
+       {"own_share", Way ? State.Dispatch.ownShare(Service) : 1.0},
+       {"version", Config ? Config->Version : 0}});
 }
 
 } // namespace masticgap::gateway
--- a/src/masticgap/coordination/affinity/affinity_choice.cpp
+++ b/src/masticgap/coordination/affinity/affinity_choice.cpp
@@ -54,7 +54,7 @@
     // Slots that are in use make a later overload of the worker more likely.
     const double Tie =
         Unit * (Policy.RankPenalty *
-                    static_cast<double>(std::min(Rank, Policy.Homes)) +
+                    static_cast<double>(std::min(Rank, Policy.RankedWorkers)) +
                 0.1 * Each.Occupancy / Slots);
     const double Cost =
         Time + Tie + Unit * Policy.FailurePenalty * Each.FailureShare;
--- a/src/masticgap/coordination/affinity/affinity_choice.hpp
+++ b/src/masticgap/coordination/affinity/affinity_choice.hpp
@@ -28,9 +28,13 @@
   //! popular object; each one more costs memory of the workers.
   std::size_t Homes = 1;
   //! A worker that has not seen the object lately takes about three times as
-  //! long, two typical latencies more.
-  double NotHomePenalty = 2.0;
-  double RankPenalty = 0.15; //!< Of the second home against the first.
+  //! long, two typical latencies more, and forgets another object for it.
+  double NotHomePenalty = 2.5;
+  //! Each worker further down the object's order. Hosts that pass over a busy
+  //! home choose the same next worker, which then has handled the object too.
+  double RankPenalty = 1.0;
+  //! Workers that are told apart by their rank; beyond it load alone decides.
+  std::size_t RankedWorkers = 6;
   double ColdPenalty = 2.0;
   double FailurePenalty = 6.0; //!< Times the share of failures.
 };
