Let changes of the store gather for 250 ms

The first change after a quiet time is still delivered at once; 250 ms is an eighth of the shortest bound on drains and configurations (2 s).

--- a/src/masticgap/coordination/replica/table_follower.hpp
+++ b/src/masticgap/coordination/replica/table_follower.hpp
@@ -40,7 +40,7 @@
   //! tells the others, so the fleet notices a silent connection much sooner.
   Duration FeedWait = std::chrono::seconds(10);
   //! Gap after an answer, in which further changes gather for one call.
-  Duration FeedGap = std::chrono::milliseconds(60);
+  Duration FeedGap = std::chrono::milliseconds(250);
   //! Pauses after failures grow from the first to the second, with jitter.
   Duration FirstBackoff = std::chrono::milliseconds(250);
   Duration MaxBackoff = std::chrono::seconds(2);
