--- a/src/entry/traffic_metrics.cpp
+++ b/src/entry/traffic_metrics.cpp
@@ -16,28 +16,6 @@
 constexpr double LeastLatency = 1e-4; // Seconds.
 constexpr double MostLatency = 1e2;   // Seconds.
 
-std::string_view label(AttemptEnd End) {
-  switch (End) {
-  case AttemptEnd::Answered:
-    return "answered";
-  case AttemptEnd::RefusedFull:
-    return "refused_full";
-  case AttemptEnd::RefusedLeaving:
-    return "refused_leaving";
-  case AttemptEnd::ConnectFailed:
-    return "connect_failed";
-  case AttemptEnd::TimedOut:
-    return "timed_out";
-  case AttemptEnd::ConnectionLost:
-    return "connection_lost";
-  case AttemptEnd::Truncated:
-    return "truncated";
-  case AttemptEnd::Cancelled:
-    return "cancelled";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 TrafficMetrics::TrafficMetrics()
@@ -68,7 +46,7 @@
   Out << "# TYPE masticgap_attempts_total counter\n";
   for (std::size_t I = 0; I < Attempts.size(); ++I)
     Out << "masticgap_attempts_total{end=\""
-        << label(static_cast<AttemptEnd>(I)) << "\"} " << Attempts.at(I)
+        << toString(static_cast<AttemptEnd>(I)) << "\"} " << Attempts.at(I)
         << '\n';
   Out << "# TYPE masticgap_refusals_total counter\n";
   for (const auto &[Kind, Count] : Refusals)
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -262,12 +262,12 @@
            {"source", std::string(Source)}});
       return;
     }
-    const auto *Zone = std::get_if<Evacuation>(&Row);
-    if (!Zone)
+    const auto *Emptied = std::get_if<Evacuation>(&Row);
+    if (!Emptied)
       return;
-    Evacuations[Key] = Zone->Domain;
+    Evacuations[Key] = Emptied->Domain;
     State.Log.write(LogClass::Decision, "evacuation_started",
-                    {{"domain", Zone->Domain.value()},
+                    {{"domain", Emptied->Domain.value()},
                      {"source", std::string(Source)},
                      {"version", Change.Row.Version}});
   }
--- a/src/masticgap/coordination/attempt_result.hpp
+++ b/src/masticgap/coordination/attempt_result.hpp
@@ -37,7 +37,7 @@
   case AttemptEnd::RefusedFull:
     return "refused_full";
   case AttemptEnd::RefusedLeaving:
-    return "misdirected";
+    return "refused_leaving";
   case AttemptEnd::ConnectFailed:
     return "connect_failed";
   case AttemptEnd::TimedOut:
--- a/tests/coordination/affinity/affinity_load.tests.cpp
+++ b/tests/coordination/affinity/affinity_load.tests.cpp
@@ -46,7 +46,8 @@
     std::exponential_distribution<double> Gap(RequestsPerSecond);
     std::uniform_int_distribution<std::size_t> Pick(0, Objects - 1);
     std::uniform_int_distribution<std::size_t> PickHost(0, Hosts - 1);
-    for (double Now = Gap(Random); Now < EndSeconds; Now += Gap(Random)) {
+    double Now = 0;
+    while ((Now += Gap(Random)) < EndSeconds) {
       finishUntil(Now);
       arrive(PickHost(Random), Pick(Random), Now);
     }
