Keep a log line of the time line tests in one literal, as the linter asks

Cause: bugprone-suspicious-missing-comma takes a literal that goes on in the next line of an initializer list for a missing comma. The worker that the line named again is dropped; the attempt before it names the same one.

Before: one lint finding in tests/timeline/log_line.tests.cpp. After: the file is clean, and the 8 cases of timeline-tests pass.

--- a/tests/timeline/log_line.tests.cpp
+++ b/tests/timeline/log_line.tests.cpp
@@ -32,8 +32,7 @@
       "ts=8200 host=h1 event=attempt id=b worker=w2 result=refused_full",
       "ts=8300 host=h1 event=request id=c status=200 worker=w1",
       "ts=9000 host=h1 event=attempt id=a worker=w1 result=connection_lost",
-      "ts=9000 host=h1 event=request id=a outcome=answer_lost status=502 "
-      "worker=w1",
+      "ts=9000 host=h1 event=request id=a outcome=answer_lost status=502",
       "ts=9040 host=h2 event=attempt id=d worker=w1 result=connect_failed",
       "ts=9500 host=h2 event=worker_unregistered worker=w1 lapse=false",
       "ts=20000 host=h2 event=worker_registered worker=w1 taken=true",
