Log and count connections that end without an answer

A caller that gets neither an answer nor a rejection left no trace: an exception that ended a session was dropped, a connection that was closed while a request crossed the close was not noticed, and a local answer that could not be sent was logged as sent.

No decision changes.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -180,10 +180,18 @@
       });
 }
 
-void CallerConnection::onReadable() {
+ssize_t CallerConnection::peek() const {
   char Byte = 0;
-  const auto Read = ::recv(Stream.socket().native_handle(), &Byte, 1,
-                           MSG_PEEK | MSG_DONTWAIT);
+  return ::recv(Stream.socket().native_handle(), &Byte, 1,
+                MSG_PEEK | MSG_DONTWAIT);
+}
+
+bool CallerConnection::hasUnreadBytes() const {
+  return Buffer.size() > 0 || peek() > 0;
+}
+
+void CallerConnection::onReadable() {
+  const auto Read = peek();
   // Bytes of a pipelined request show that the caller is connected. Another
   // wait would return immediately while they are unread, so watching ends.
   if (Read > 0)
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -65,6 +65,9 @@
 
   //! Returns the IP address of the caller; empty when it is not connected.
   std::string address() const;
+  //! Returns whether received bytes are unread, for example those of a request
+  //! that crosses the close of an idle connection.
+  bool hasUnreadBytes() const;
   //! Returns whether another request may follow on the connection.
   bool isReusable() const;
   bool keepsAlive() const { return Parser && Parser->get().keep_alive(); }
@@ -92,8 +95,12 @@
   readSome(std::span<char> Into, std::size_t &BytesRead);
   void armWatch();
   void onReadable();
+  //! Reads at most one byte without removing it.
+  //! \returns the result of recv().
+  ssize_t peek() const;
 
-  boost::beast::tcp_stream Stream;
+  // native_handle() is not const.
+  mutable boost::beast::tcp_stream Stream;
   const EntryLimits &Limits;
   boost::beast::flat_buffer Buffer;
   using RequestParser =
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <exception>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace masticgap::gateway {
@@ -18,6 +20,14 @@
 using entry::ReadFailure;
 using Tcp = asio::ip::tcp;
 
+namespace {
+
+std::string_view view(boost::beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+} // namespace
+
 class GatewayServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(GatewayState &State, const Endpoint &Bind)
@@ -36,7 +46,10 @@
   asio::awaitable<bool> serveNext(CallerConnection &Caller);
   asio::awaitable<void> rejectUnreadable(CallerConnection &Caller,
                                          ReadFailure Failure);
-  void onSessionEnd(const std::shared_ptr<CallerConnection> &Caller);
+  void onSessionEnd(const std::shared_ptr<CallerConnection> &Caller,
+                    const std::exception_ptr &Failure);
+  void recordUnreadRequest(const CallerConnection &Caller,
+                           std::string_view RequestId);
 
   GatewayState &State;
   Tcp::acceptor Acceptor;
@@ -73,13 +86,21 @@
   Callers.insert(Caller);
   asio::co_spawn(
       State.Io, session(Caller),
-      [Self = shared_from_this(), Caller](const std::exception_ptr &) {
-        Self->onSessionEnd(Caller);
+      [Self = shared_from_this(), Caller](const std::exception_ptr &Failure) {
+        Self->onSessionEnd(Caller, Failure);
       });
 }
 
 void GatewayServer::Impl::onSessionEnd(
-    const std::shared_ptr<CallerConnection> &Caller) {
+    const std::shared_ptr<CallerConnection> &Caller,
+    const std::exception_ptr &Failure) {
+  if (Failure) {
+    try {
+      std::rethrow_exception(Failure);
+    } catch (const std::exception &Problem) {
+      State.recordUnanswered({}, "session_failed", Problem.what());
+    }
+  }
   Callers.erase(Caller);
   if (Draining && Callers.empty() && OnEmpty)
     std::exchange(OnEmpty, {})();
@@ -106,6 +127,7 @@
     Failed = co_await Caller.readBody(Request.Body);
   }
   if (Failed == ReadFailure::Closed) {
+    recordUnreadRequest(Caller, view(Request.Head[State.Wire.RequestIdField]));
     Caller.close();
     co_return false;
   }
@@ -121,6 +143,15 @@
   co_return Caller.isReusable();
 }
 
+void GatewayServer::Impl::recordUnreadRequest(const CallerConnection &Caller,
+                                              std::string_view RequestId) {
+  if (Caller.isBusy())
+    State.recordUnanswered(RequestId, "request_incomplete");
+  else if (Caller.hasUnreadBytes())
+    State.recordUnanswered(RequestId,
+                           Draining ? "closed_by_drain" : "closed_as_idle");
+}
+
 asio::awaitable<void>
 GatewayServer::Impl::rejectUnreadable(CallerConnection &Caller,
                                       ReadFailure Failure) {
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -51,4 +51,15 @@
   Dispatch.setConfig(Config);
 }
 
+void GatewayState::recordUnanswered(std::string_view RequestId,
+                                    std::string_view Reason,
+                                    std::string_view Detail) {
+  Stats.count("unanswered", Reason);
+  Log.write(LogClass::Decision, "unanswered",
+            {{"id", RequestId},
+             {"reason", Reason},
+             {"detail", Detail},
+             {"version", configVersion()}});
+}
+
 } // namespace masticgap::gateway
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string_view>
 
 namespace masticgap::gateway {
 
@@ -28,6 +29,13 @@
   std::uint64_t configVersion() const { return Config ? Config->Version : 0; }
   //! Makes a configuration the current one.
   void adopt(std::shared_ptr<const TrafficConfig> New);
+  //! Logs and counts a connection of a caller that ends without an answer to a
+  //! request of which bytes were received.
+  //! \param RequestId empty if the head of the request was not read.
+  //! \param Reason label of the counter.
+  //! \param Detail more about the reason; may be empty.
+  void recordUnanswered(std::string_view RequestId, std::string_view Reason,
+                        std::string_view Detail = {});
 
   boost::asio::io_context &Io;
   const GatewaySettings &Settings;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -195,15 +195,21 @@
 
 asio::awaitable<void> RequestFlow::finish(RequestOutcome End) {
   logOutcome(End);
-  if (const auto *Local = std::get_if<LocalAnswer>(&End))
-    co_await write(*Local);
-  else if (std::holds_alternative<CutOff>(End))
+  if (const auto *Local = std::get_if<LocalAnswer>(&End)) {
+    const bool Written = co_await write(*Local);
+    if (!Written)
+      State.recordUnanswered(Id, "send_failed", Local->Reason);
+  } else if (std::holds_alternative<CutOff>(End)) {
+    State.recordUnanswered(Id, "cut_off");
     Caller.abort();
-  else if (std::holds_alternative<Abandoned>(End))
+  } else if (std::holds_alternative<Abandoned>(End)) {
+    State.recordUnanswered(Id, Control.isCancelled() ? "caller_left"
+                                                     : "send_failed");
     Caller.close();
+  }
 }
 
-asio::awaitable<void> RequestFlow::write(const LocalAnswer &Answer) {
+asio::awaitable<bool> RequestFlow::write(const LocalAnswer &Answer) {
   transport::HttpResponse Message(Answer.Status, Request.Head.version());
   Message.keep_alive(Caller.keepsAlive());
   Message.set(http::field::content_type, "application/json");
@@ -220,7 +226,7 @@
   Message.prepare_payload();
   if (Request.Head.method() == http::verb::head)
     Message.body().clear();
-  co_await Caller.write(std::move(Message));
+  co_return co_await Caller.write(std::move(Message));
 }
 
 } // namespace masticgap::gateway
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -110,7 +110,8 @@
   transport::OutgoingRequest
   makeOutgoing(const coordination::WorkerPick &Pick) const;
   boost::asio::awaitable<void> finish(RequestOutcome End);
-  boost::asio::awaitable<void> write(const LocalAnswer &Answer);
+  //! \returns false when the caller did not receive the answer.
+  boost::asio::awaitable<bool> write(const LocalAnswer &Answer);
   void logRejection(std::string_view Reason, Duration Wait, Instant Now);
   void logAttempt(const coordination::WorkerPick &Pick, std::string_view Result,
                   Instant SentAt);
