Add a failing test for a peer's query that is answered twice

The test makes the timer of a change and that of a query's wait expire in one turn of the event loop.

--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -65,6 +65,9 @@
   //! Answers the waiting peers whose queries now have a result.
   void notify();
 
+  //! Returns the address and port that peers connect to.
+  Endpoint local() const { return Server.local(); }
+
 private:
   //! Query of a peer whose answer is delayed until a change arrives.
   struct Waiter {
--- /dev/null
+++ b/tests/gateway/peer_exchange.tests.cpp
@@ -0,0 +1,117 @@
+#include "gateway/peer_exchange.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace masticgap;
+using namespace masticgap::gateway;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds PeerWait{200};
+
+//! Table of one host, which peers query over loopback. The event loop runs only
+//! within its functions, so the test decides which events share a turn.
+struct QueriedHost {
+  asio::io_context Io{1};
+  PeerUpdate Update{{}, 1, false, false};
+  PeerExchange Exchange{
+      Io, {"127.0.0.1", 0}, [this](const PeerUpdateQuery &Query) {
+        ++Lookups;
+        PeerUpdate Result = Update;
+        if (Query.AfterVersion >= Result.Version)
+          Result.Changes.clear();
+        return Result;
+      }};
+  int Lookups = 0;
+
+  //! Sends a query that waits for changes after version 1.
+  Tcp::socket query() {
+    Tcp::socket Peer(Io);
+    const Endpoint To = Exchange.local();
+    Peer.connect({asio::ip::make_address(To.Address), To.Port});
+    const std::string Request =
+        "GET /peer/changes?table=operator&after=1&wait_ms=" +
+        std::to_string(PeerWait.count()) + " HTTP/1.1\r\nHost: peer\r\n\r\n";
+    asio::write(Peer, asio::buffer(Request));
+    const int Before = Lookups;
+    while (Lookups == Before)
+      Io.run_one_for(std::chrono::seconds(10));
+    return Peer;
+  }
+
+  void change() {
+    Update.Version = 2;
+    Update.Changes = {{{"config", "new", 2}, false}};
+    Exchange.notify();
+  }
+
+  //! Runs the event loop until the server has closed the connection.
+  std::string receiveAll(Tcp::socket &Peer) {
+    std::string Received;
+    bool Closed = false;
+    asio::async_read(Peer, asio::dynamic_buffer(Received),
+                     [&](boost::system::error_code, std::size_t) {
+                       Closed = true;
+                       Peer.close();
+                     });
+    while (!Closed && Io.run_one_for(std::chrono::seconds(10)) > 0)
+      ;
+    // Handlers that are still queued run here.
+    Io.run_for(std::chrono::milliseconds(20));
+    return Received;
+  }
+};
+
+std::size_t countAnswers(const std::string &Bytes) {
+  std::size_t Count = 0;
+  for (auto At = Bytes.find("HTTP/1.1 "); At != std::string::npos;
+       At = Bytes.find("HTTP/1.1 ", At + 1))
+    ++Count;
+  return Count;
+}
+
+} // namespace
+
+// Guards against a second write over the answer that is being written.
+TEST_CASE("a query of a peer is answered once when its wait expires with a "
+          "change") {
+  enum class Order { OnlyExpiry, OnlyChange, ChangeFirst, ExpiryFirst };
+  struct Case {
+    const char *Name;
+    Order Events; //!< Handlers of expired timers run in the order of expiry.
+    std::size_t Queries;
+  };
+  const Case Cases[] = {{"expiry only", Order::OnlyExpiry, 1},
+                        {"change only", Order::OnlyChange, 1},
+                        {"change, then expiry", Order::ChangeFirst, 1},
+                        {"expiry, then change", Order::ExpiryFirst, 1},
+                        {"change, then many expiries", Order::ChangeFirst, 50}};
+  for (const auto &C : Cases) {
+    CAPTURE(C.Name);
+    QueriedHost Host;
+    asio::steady_timer Change(Host.Io);
+    Change.expires_after(C.Events == Order::ExpiryFirst ? PeerWait * 2
+                                                        : PeerWait / 2);
+    std::vector<Tcp::socket> Peers;
+    for (std::size_t I = 0; I < C.Queries; ++I)
+      Peers.push_back(Host.query());
+    if (C.Events != Order::OnlyExpiry)
+      Change.async_wait([&](boost::system::error_code) { Host.change(); });
+    // All timers that expire meanwhile are ready in one turn.
+    if (C.Events != Order::OnlyChange)
+      std::this_thread::sleep_for(PeerWait * 3);
+    for (Tcp::socket &Peer : Peers)
+      CHECK(countAnswers(Host.receiveAll(Peer)) == 1);
+  }
+}
