Answer each query of a peer once

PeerExchange answers a waiting peer when a change arrives or when the wait expires. A timer that has expired has its handler queued, and cancel() does not take that back, so a change that was handled in the same turn of the event loop answered the query first and the handler answered it again. HttpServer replaced the response that was being written, and the write continued over freed header fields.

The list of waiting queries now decides: whoever removes a query from it answers it, and a handler that finds its query gone does nothing.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -135,10 +135,10 @@
   Waiters.push_back(Pending);
   Pending->Timer.expires_after(Query.Wait);
   Pending->Timer.async_wait([this, Pending](boost::system::error_code Failure) {
-    if (Failure)
-      return;
-    std::erase(Waiters, Pending);
-    answer(Pending);
+    // notify() may have answered after this handler was queued, which
+    // cancelling the timer does not undo.
+    if (!Failure && std::erase(Waiters, Pending) > 0)
+      answer(Pending);
   });
 }
 
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -88,6 +88,7 @@
   boost::asio::io_context &Io;
   Source LocalUpdate;
   transport::HttpServer Server;
+  //! Queries without an answer. Whoever removes one answers it.
   std::list<WaiterPtr> Waiters;
 };
 
