Ignore a second answer to a request in HttpServer

The server trusted each handler to reply once. Any handler whose timer and event finish the same request can do that, here or in another server.

Each reply is now bound to the number of its request and has an effect only while that request is unanswered; a later call is logged.

--- a/src/masticgap/transport/http_server.cpp
+++ b/src/masticgap/transport/http_server.cpp
@@ -80,6 +80,7 @@
   void onRequest(beast::error_code Failure);
   void setPeerAddress(HttpRequest &Request);
   void reject(beast::error_code Failure);
+  void answer(std::uint64_t RequestNumber, HttpResponse Answer);
   void write(HttpResponse Answer);
   void closeAfterInput();
   void discardInput();
@@ -89,6 +90,9 @@
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
   HttpResponse Response;
+  std::uint64_t RequestCount = 0;
+  //! Number of the request that waits for its answer.
+  std::optional<std::uint64_t> Unanswered;
   bool Busy = false;
 };
 
@@ -130,10 +134,25 @@
   Stream.expires_never();
   HttpRequest Request = Parser->release();
   setPeerAddress(Request);
-  Server->OnRequest(std::move(Request),
-                    [Self = shared_from_this()](HttpResponse Answer) {
-                      Self->write(std::move(Answer));
-                    });
+  Unanswered = ++RequestCount;
+  Server->OnRequest(
+      std::move(Request),
+      [Self = shared_from_this(), Number = RequestCount](HttpResponse Answer) {
+        Self->answer(Number, std::move(Answer));
+      });
+}
+
+void Session::answer(std::uint64_t RequestNumber, HttpResponse Answer) {
+  // The write of the first answer still refers to Response, and the connection
+  // may have moved on to another request.
+  if (Unanswered != RequestNumber) {
+    LOG_EVERY_N(ERROR, 100)
+        << "dropped a second answer to one request, with status "
+        << Answer.result_int();
+    return;
+  }
+  Unanswered.reset();
+  write(std::move(Answer));
 }
 
 void Session::setPeerAddress(HttpRequest &Request) {
--- a/src/masticgap/transport/http_server.hpp
+++ b/src/masticgap/transport/http_server.hpp
@@ -33,6 +33,7 @@
 //! connection is read.
 class HttpServer {
 public:
+  //! Answers one request. Calls after the first one have no effect.
   using Reply = std::function<void(HttpResponse)>;
   //! Called once per request; the Reply is to be called once, immediately or
   //! later, on the thread of the io_context.
--- a/tests/transport/http_server.tests.cpp
+++ b/tests/transport/http_server.tests.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <string>
 #include <thread>
+#include <vector>
 
 using namespace masticgap;
 using namespace masticgap::transport;
@@ -58,6 +60,55 @@
   CHECK(Answer.body() == "{\"a\":1}");
 }
 
+// Guards against an answer that is replaced while it is written, and against a
+// second answer that is taken for that of the next request.
+TEST_CASE("a request is answered once even if its reply is called again") {
+  struct Case {
+    const char *Name;
+    bool Immediately; //!< The reply is called twice in its own request.
+    bool Later;       //!< It is called again during the next request.
+  };
+  const Case Cases[] = {{"twice at once", true, false},
+                        {"again during the next request", false, true},
+                        {"both", true, true}};
+  for (const auto &C : Cases) {
+    CAPTURE(C.Name);
+    boost::asio::io_context Io(1);
+    std::vector<HttpServer::Reply> Earlier;
+    HttpServer Server(
+        Io, {"127.0.0.1", 0}, {},
+        [&](const HttpRequest &Request, const HttpServer::Reply &Reply) {
+          const auto Answer =
+              jsonResponse(Request, http::status::ok, Request.body());
+          for (const auto &Old : Earlier)
+            Old(Answer);
+          Reply(Answer);
+          if (C.Immediately)
+            Reply(Answer);
+          if (C.Later)
+            Earlier.push_back(Reply);
+        });
+    const Endpoint To = Server.local();
+    std::thread Thread([&] { Io.run(); });
+    const auto MakePost = [](const std::string &Body, const char *Fields) {
+      return "POST / HTTP/1.1\r\n" + std::string(Fields) +
+             "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+             Body;
+    };
+    const std::string Received =
+        sendRaw(To, MakePost("one", "") + MakePost("two", "") +
+                        MakePost("three", "Connection: close\r\n"));
+    Io.stop();
+    Thread.join();
+    std::string Bodies;
+    for (auto At = Received.find("\r\n\r\n"); At != std::string::npos;
+         At = Received.find("\r\n\r\n", At + 4))
+      Bodies +=
+          Received.substr(At + 4, Received.find("HTTP/1.1", At) - At - 4) + " ";
+    CHECK(Bodies == "one two three ");
+  }
+}
+
 TEST_CASE("malformed and oversized requests get a typed error, then a close") {
   struct Case {
     const char *Name;
