Reject worker rows whose values cannot be used

One row that another writer left could name a worker with port 0, a host name for an address, a fractional number of slots or start time, a cold period of 1e300 s, "infs" or "nans", or an id with line breaks. Nested or oversized JSON was rejected already. The periods overflowed the conversion to nanoseconds, which is undefined and differs between x86-64 and arm64; an id with line breaks added header fields to each request for that worker.

--- a/src/masticgap/transport/settings_reader.cpp
+++ b/src/masticgap/transport/settings_reader.cpp
@@ -11,11 +11,9 @@
 
 namespace {
 
-bool isAddress(std::string_view Text) {
-  boost::system::error_code Failure;
-  boost::asio::ip::make_address(std::string(Text), Failure);
-  return !Failure;
-}
+//! Longest duration that is accepted. Its sum with any point in time can be
+//! represented.
+constexpr std::chrono::hours MaxDuration{24 * 366};
 
 std::string_view view(const json::string &Text) {
   return {Text.data(), Text.size()};
@@ -196,6 +194,12 @@
   return Result;
 }
 
+bool isAddress(std::string_view Text) {
+  boost::system::error_code Failure;
+  boost::asio::ip::make_address(std::string(Text), Failure);
+  return !Failure;
+}
+
 std::optional<std::chrono::nanoseconds> parseDuration(std::string_view Text) {
   double Count = 0;
   const auto [End, Failure] =
@@ -210,6 +214,9 @@
     Seconds = std::chrono::duration<double>(Count);
   else
     return std::nullopt;
+  // Written so that NaN is rejected too.
+  if (!(Seconds <= MaxDuration))
+    return std::nullopt;
   return std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds);
 }
 
--- a/src/masticgap/transport/settings_reader.hpp
+++ b/src/masticgap/transport/settings_reader.hpp
@@ -72,8 +72,11 @@
   std::optional<Error> FirstError;
 };
 
+//! Returns whether \p Text is an IP address.
+bool isAddress(std::string_view Text);
+
 //! Parses a duration such as "1500ms" or "2.5s".
-//! \returns nothing if \p Text is not a valid duration.
+//! \returns nothing if \p Text is not a valid duration of at most a year.
 std::optional<std::chrono::nanoseconds> parseDuration(std::string_view Text);
 
 } // namespace masticgap::transport
--- a/tests/platform/rows.tests.cpp
+++ b/tests/platform/rows.tests.cpp
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 using namespace masticgap;
 using namespace masticgap::platform;
 using namespace std::chrono_literals;
@@ -59,14 +62,27 @@
       {"\"service\":\"s\"", "\"service\":7", "service"},
       {"10.0.0.9:8080", "10.0.0.9", "address"},
       {"10.0.0.9:8080", "10.0.0.9:99999", "address"},
+      {"10.0.0.9:8080", "10.0.0.9:0", "address"},
+      {"10.0.0.9:8080", "10.0.0.9:-1", "address"},
+      {"10.0.0.9:8080", "10.0.0.900:8080", "address"},
+      {"10.0.0.9:8080", "worker.example:8080", "address"},
       {"\"luz-a\"", "\"mars\"", "zone"},
       {"\"slots\":3", "\"slots\":0", "slots"},
       {"\"slots\":3", "\"slots\":\"3\"", "slots"},
       {"\"slots\":3", "\"slots\":null", "slots"},
+      {"\"slots\":3", "\"slots\":2.5", "slots"},
+      {"\"slots\":3", "\"slots\":18446744073709551616", "slots"},
+      {"\"slots\":3", "\"slots\":1e300", "slots"},
       {"\"ready\"", "\"busy\"", "state"},
       {"\"1500ms\"", "1500", "cold_remaining"},
       {"\"1500ms\"", "\"-1s\"", "cold_remaining"},
+      {"\"1500ms\"", "\"1e300s\"", "cold_remaining"},
+      {"\"1500ms\"", "\"infs\"", "cold_remaining"},
+      {"\"1500ms\"", "\"nans\"", "cold_remaining"},
       {"1700000000000", "\"now\"", "born"},
+      {"1700000000000", "1.5", "born"},
+      {"1700000000000", "-1", "born"},
+      {"1700000000000", "1e300", "born"},
   };
   for (const auto &C : Cases) {
     CAPTURE(C.To);
@@ -76,14 +92,29 @@
     REQUIRE(std::holds_alternative<Error>(Read));
     CHECK(std::get<Error>(Read).Message.find(C.Named) != std::string::npos);
   }
-  for (const char *Malformed : {"", "{", "[]", "7", "\xff\xfe", "null"}) {
-    CAPTURE(Malformed);
+  const std::string Nested = replaced(
+      Worker, "\"v1\"", std::string(100000, '[') + std::string(100000, ']'));
+  const std::string TooLarge =
+      replaced(Worker, "\"slots\":3", "\"slots\":1e999999999999");
+  for (const std::string &Malformed : std::vector<std::string>{
+           "", "{", "[]", "7", "\xff\xfe", "null", Nested, TooLarge}) {
+    CAPTURE(Malformed.substr(0, 100));
     CHECK(
         std::holds_alternative<Error>(capture<coordination::WorkerRegistration>(
             [&] { return decodeWorker("i-1", Malformed, Domains); })));
   }
 }
 
+// Guards against a worker's id that adds header fields to requests.
+TEST_CASE("a registration with an id that is no header value is rejected") {
+  for (const char *Id : {"", "i-1\r\nX: y", "i 1", "i-\x7f", "i-\xc3\xa4"}) {
+    CAPTURE(Id);
+    CHECK(
+        std::holds_alternative<Error>(capture<coordination::WorkerRegistration>(
+            [&] { return decodeWorker(Id, Worker, Domains); })));
+  }
+}
+
 TEST_CASE("the operator's configuration is read completely") {
   const auto Read = capture<TrafficConfig>([] { return decodeConfig(Config); });
   REQUIRE(std::holds_alternative<TrafficConfig>(Read));
