Let a send that outlasts its lease own the connection

A large request body is sent while the answer is read. If the worker refuses first, the lease ended and destroyed the connection while the composed write could still refer to it; only the order of handlers kept it from continuing there.

--- a/src/masticgap/transport/worker_connection_pool.cpp
+++ b/src/masticgap/transport/worker_connection_pool.cpp
@@ -73,11 +73,11 @@
 
   using Key = std::pair<WorkerId, Incarnation>;
   struct Worker {
-    std::vector<std::unique_ptr<WorkerConnection>> Idle;
+    std::vector<std::shared_ptr<WorkerConnection>> Idle;
     std::size_t Open = 0; //!< Idle and leased.
   };
 
-  std::unique_ptr<WorkerConnection> takeIdle(Worker &W, bool Repeatable) {
+  std::shared_ptr<WorkerConnection> takeIdle(Worker &W, bool Repeatable) {
     const Instant Now = Clock();
     while (!W.Idle.empty()) {
       const ConnectionUse Use = W.Idle.back()->Health.use(Now);
@@ -107,7 +107,7 @@
   }
 
   void returnIdle(const Key &WorkerRun,
-                  std::unique_ptr<WorkerConnection> Connection) {
+                  std::shared_ptr<WorkerConnection> Connection) {
     Connection->Reused = true;
     Workers[WorkerRun].Idle.push_back(std::move(Connection));
   }
@@ -127,7 +127,7 @@
 
 WorkerConnectionPool::Lease::Lease(std::shared_ptr<Impl> Owner,
                                    WorkerTarget Target,
-                                   std::unique_ptr<WorkerConnection> Connection)
+                                   std::shared_ptr<WorkerConnection> Connection)
     : Owner(std::move(Owner)), Target(std::move(Target)),
       Connection(std::move(Connection)) {}
 
@@ -136,6 +136,7 @@
 WorkerConnectionPool::Lease::~Lease() {
   if (!Connection)
     return;
+  Connection->Stream.close();
   Connection.reset();
   Owner->recordClosed({Target.Id, Target.Run});
 }
@@ -165,7 +166,7 @@
   ++W.Open;
   ++Pimpl->Opened;
   Lease Fresh(Pimpl, Target,
-              std::make_unique<WorkerConnection>(Pimpl->Io, Pimpl->Clock()));
+              std::make_shared<WorkerConnection>(Pimpl->Io, Pimpl->Clock()));
   beast::tcp_stream &Stream = Fresh.connection().Stream;
   beast::error_code Failure;
   const auto Address = asio::ip::make_address(Target.Address.Address, Failure);
--- a/src/masticgap/transport/worker_connection_pool.hpp
+++ b/src/masticgap/transport/worker_connection_pool.hpp
@@ -37,13 +37,16 @@
   class Lease {
   public:
     Lease(std::shared_ptr<Impl> Owner, WorkerTarget Target,
-          std::unique_ptr<WorkerConnection> Connection);
+          std::shared_ptr<WorkerConnection> Connection);
     Lease(Lease &&) noexcept;
     Lease &operator=(Lease &&) = delete;
     ~Lease();
 
     WorkerConnection &connection() { return *Connection; }
     const WorkerConnection &connection() const { return *Connection; }
+    //! Returns shared ownership for the handler of an operation that may
+    //! outlast the lease. The end of the lease still closes the connection.
+    std::shared_ptr<WorkerConnection> share() const { return Connection; }
 
     //! Returns the connection to the pool for another request. A complete
     //! answer must have been read, with no bytes left on the connection.
@@ -52,7 +55,7 @@
   private:
     std::shared_ptr<Impl> Owner;
     WorkerTarget Target;
-    std::unique_ptr<WorkerConnection> Connection;
+    std::shared_ptr<WorkerConnection> Connection;
   };
   using Acquired = std::variant<Lease, AcquireFailure>;
 
--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -136,19 +136,19 @@
 WorkerExchange::sendAndReadHead(const OutgoingRequest &Request,
                                 AttemptControl &Control) {
   limitTime();
-  // The copy outlives this exchange if the send is still pending when the
-  // exchange ends.
+  // The send may be pending when the exchange ends, so its handler owns the
+  // message and the connection.
   auto Message = std::make_shared<http::request<http::string_body>>(
       http::request_header<>(Request.Head), std::string(Request.Body));
   auto Progress = std::make_shared<SendProgress>();
   SendPending = true;
   Sent = Message->body().size();
-  http::async_write(
-      Lease->connection().Stream, *Message,
-      [Message, Progress](beast::error_code Failure, std::size_t) {
-        Progress->Done = true;
-        Progress->Failure = Failure;
-      });
+  http::async_write(Lease->connection().Stream, *Message,
+                    [Message, Progress, Kept = Lease->share()](
+                        beast::error_code Failure, std::size_t) {
+                      Progress->Done = true;
+                      Progress->Failure = Failure;
+                    });
   const auto Ended = co_await readMatchingHead(
       Request.Head[Options.Dialect->RequestIdField],
       Request.Head.method() == http::verb::head, Control);
--- a/tests/transport/worker_exchange.tests.cpp
+++ b/tests/transport/worker_exchange.tests.cpp
@@ -5,9 +5,14 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 #include <array>
+#include <optional>
+#include <string>
+#include <vector>
 
 using namespace masticgap;
 using namespace masticgap::transport;
@@ -25,6 +30,7 @@
   Instant Time = transport::now();
   WorkerConnectionPool Pool{Io, [this] { return Time; }, "127.0.0.1"};
   std::string Body;
+  std::string RequestBody = "ab";
   std::size_t MaxConnections = 4;
 
   WorkerTarget target(const Endpoint &To) const {
@@ -51,8 +57,9 @@
     Request.Head.target("/x");
     Request.Head.version(11);
     Request.Head.set("Masticgap-Request-Id", "mine");
-    Request.Head.set(http::field::content_length, "2");
-    Request.Body = "ab";
+    Request.Head.set(http::field::content_length,
+                     std::to_string(RequestBody.size()));
+    Request.Body = RequestBody;
     ExchangeOptions Options;
     Options.Repeatable = Repeatable;
     Options.Deadline = Time + Timeout;
@@ -82,6 +89,15 @@
   return {"127.0.0.1", Unused.local_endpoint().port()};
 }
 
+//! Reads all bytes that have arrived.
+void drain(asio::ip::tcp::socket &Connection) {
+  std::vector<char> Part(1024 * 1024);
+  boost::system::error_code Failure;
+  Connection.non_blocking(true);
+  while (!Failure)
+    Connection.read_some(asio::buffer(Part), Failure);
+}
+
 } // namespace
 
 // Guards against wrong classifications: a request that is wrongly taken as not
@@ -211,3 +227,36 @@
   E.Pool.sweep([](const WorkerId &, Incarnation) { return false; });
   CHECK(E.Pool.openConnections() == 0);
 }
+
+// Guards against a send that continues on a destroyed connection.
+TEST_CASE("a send that makes progress as its request is refused ends cleanly") {
+  Exchanges E;
+  // Several times the size of the socket buffers.
+  E.RequestBody.assign(64 * 1024 * 1024, 'x');
+  asio::ip::tcp::acceptor Acceptor(E.Io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  const Endpoint To{"127.0.0.1", Acceptor.local_endpoint().port()};
+  std::optional<AttemptEnd> Result;
+  asio::co_spawn(E.Io, E.exchange(E.target(To), true, std::chrono::hours(1)),
+                 [&](const std::exception_ptr &Thrown, AttemptEnd End) {
+                   CHECK_FALSE(Thrown);
+                   Result = End;
+                 });
+  E.Io.poll();
+  asio::ip::tcp::socket Worker = Acceptor.accept();
+  // Until the socket buffers are full and the send waits.
+  while (E.Io.poll() > 0)
+    ;
+  asio::write(Worker,
+              asio::buffer(std::string(
+                  "HTTP/1.1 503 X\r\nMasticgap-Request-Id: mine\r\n"
+                  "Worker-Refused: full\r\nContent-Length: 0\r\n\r\n")));
+  drain(Worker);
+  // Runs after the event loop has seen that the connection can be read and
+  // written, and before it reports that, so the next part is sent at once.
+  asio::post(E.Io, [&] { drain(Worker); });
+  E.Io.poll();
+  REQUIRE(Result);
+  CHECK((*Result == AttemptEnd::RefusedFull));
+  CHECK(E.Pool.openConnections() == 0);
+}
