Do not call the handler of a destroyed HttpServer

A session that was still receiving a request when the HttpServer was destroyed called the handler afterwards. Handlers refer to the owner of the server, which is usually gone by then: a use after free. The same happened to a complete request whose read was queued at the time.

The destructor now marks the server as ended; a request that is received completely after that is answered with 503 and not handled. The new test failed before ("Handled == 0" with 1 for a request whose body was partly read, which was answered with 200, and for one whose read was queued) and passes now.

--- a/src/masticgap/transport/http_server.cpp
+++ b/src/masticgap/transport/http_server.cpp
@@ -46,6 +46,8 @@
   const HttpServerLimits Limits;
   const Handler OnRequest;
   bool Draining = false;
+  //! The HttpServer was destroyed, and with it what OnRequest refers to.
+  bool Ended = false;
   std::set<Session *> Sessions;
 
 private:
@@ -134,6 +136,9 @@
   Stream.expires_never();
   HttpRequest Request = Parser->release();
   setPeerAddress(Request);
+  if (Server->Ended)
+    return write(errorResponse(Request, http::status::service_unavailable,
+                               "stopping", "the server is stopping"));
   Unanswered = ++RequestCount;
   Server->OnRequest(
       std::move(Request),
@@ -254,7 +259,10 @@
   Pimpl->accept();
 }
 
-HttpServer::~HttpServer() { Pimpl->drain(); }
+HttpServer::~HttpServer() {
+  Pimpl->Ended = true;
+  Pimpl->drain();
+}
 
 Endpoint HttpServer::local() const { return Pimpl->local(); }
 
--- a/src/masticgap/transport/http_server.hpp
+++ b/src/masticgap/transport/http_server.hpp
@@ -43,6 +43,8 @@
   //! \throws boost::system::system_error if the address cannot be bound.
   HttpServer(boost::asio::io_context &Io, const Endpoint &Bind,
              HttpServerLimits Limits, Handler OnRequest);
+  //! Drains the server. The handler is not called any more: requests that are
+  //! received completely after this are answered with status 503.
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/tests/transport/http_server.tests.cpp
+++ b/tests/transport/http_server.tests.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -109,6 +110,54 @@
   }
 }
 
+// Guards against a handler that runs after its server, and thus its owner, was
+// destroyed.
+TEST_CASE("a request that is received completely after the end of its server "
+          "is not handled") {
+  struct Case {
+    const char *Name;
+    std::string Before; //!< Bytes sent before the end of the server.
+    bool Read;          //!< The server reads them before its end.
+    std::string After;
+    std::string Status; //!< Empty if the connection is closed unanswered.
+  };
+  const Case Cases[] = {
+      {"part of the body is read",
+       "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\na", true, "b",
+       "HTTP/1.1 503"},
+      {"part of the head is read", "POST / HTTP/1.1\r\n", true, "", ""},
+      {"the read is queued", "GET / HTTP/1.1\r\n\r\n", false, "", ""}};
+  for (const auto &C : Cases) {
+    CAPTURE(C.Name);
+    boost::asio::io_context Io(1);
+    int Handled = 0;
+    auto Server = std::make_unique<HttpServer>(
+        Io, Endpoint{"127.0.0.1", 0}, HttpServerLimits(),
+        [&](const HttpRequest &Request, const HttpServer::Reply &Reply) {
+          ++Handled;
+          Reply(jsonResponse(Request, http::status::ok, "{}"));
+        });
+    const Endpoint To = Server->local();
+    boost::asio::ip::tcp::socket Caller(Io);
+    Caller.connect({boost::asio::ip::make_address(To.Address), To.Port});
+    boost::asio::write(Caller, boost::asio::buffer(C.Before));
+    while (Server->openConnections() == 0)
+      Io.run_one();
+    if (C.Read)
+      Io.poll();
+    Server.reset();
+    boost::asio::write(Caller, boost::asio::buffer(C.After));
+    std::string Received;
+    boost::asio::async_read(
+        Caller, boost::asio::dynamic_buffer(Received),
+        [&](boost::system::error_code, std::size_t) { Caller.close(); });
+    Io.run_for(std::chrono::seconds(10));
+    CHECK(Io.stopped());
+    CHECK(Handled == 0);
+    CHECK(Received.substr(0, 12) == C.Status);
+  }
+}
+
 TEST_CASE("malformed and oversized requests get a typed error, then a close") {
   struct Case {
     const char *Name;
