End the queries of peers with their PeerExchange

The handler of a waiting query's timer kept the query and its timer alive and used the PeerExchange after its end. In the gateway the event loop has stopped by then, so callers have not seen this; a test or another owner that goes on running the loop would.

The list of the exchange is now the only owner of a waiting query, so its end cancels the timer, and a handler that is queued already finds nothing. The new test ended with SIGSEGV before (address sanitizer: heap-use-after-free in the handler of the timer, in PeerExchange::Waiters) and passes now.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -134,11 +134,13 @@
   auto Pending = std::make_shared<Waiter>(Io, Query, Reply);
   Waiters.push_back(Pending);
   Pending->Timer.expires_after(Query.Wait);
-  Pending->Timer.async_wait([this, Pending](boost::system::error_code Failure) {
-    // notify() may have answered after this handler was queued, which
-    // cancelling the timer does not undo.
-    if (!Failure && std::erase(Waiters, Pending) > 0)
-      answer(Pending);
+  Pending->Timer.async_wait([this, WeakPending = std::weak_ptr(Pending)](
+                                boost::system::error_code Failure) {
+    // notify() or the destructor may have removed the query after this handler
+    // was queued, which cancelling the timer does not undo.
+    const WaiterPtr Due = WeakPending.lock();
+    if (!Failure && Due && std::erase(Waiters, Due) > 0)
+      answer(Due);
   });
 }
 
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -88,7 +88,8 @@
   boost::asio::io_context &Io;
   Source LocalUpdate;
   transport::HttpServer Server;
-  //! Queries without an answer. Whoever removes one answers it.
+  //! Queries without an answer, owned by this list only, so that none outlives
+  //! this object. Whoever removes one answers it.
   std::list<WaiterPtr> Waiters;
 };
 
--- a/tests/gateway/peer_exchange.tests.cpp
+++ b/tests/gateway/peer_exchange.tests.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -25,20 +26,20 @@
 struct QueriedHost {
   asio::io_context Io{1};
   PeerUpdate Update{{}, 1, false, false};
-  PeerExchange Exchange{
-      Io, {"127.0.0.1", 0}, [this](const PeerUpdateQuery &Query) {
+  std::unique_ptr<PeerExchange> Exchange = std::make_unique<PeerExchange>(
+      Io, Endpoint{"127.0.0.1", 0}, [this](const PeerUpdateQuery &Query) {
         ++Lookups;
         PeerUpdate Result = Update;
         if (Query.AfterVersion >= Result.Version)
           Result.Changes.clear();
         return Result;
-      }};
+      });
   int Lookups = 0;
 
   //! Sends a query that waits for changes after version 1.
   Tcp::socket query() {
     Tcp::socket Peer(Io);
-    const Endpoint To = Exchange.local();
+    const Endpoint To = Exchange->local();
     Peer.connect({asio::ip::make_address(To.Address), To.Port});
     const std::string Request =
         "GET /peer/changes?table=operator&after=1&wait_ms=" +
@@ -53,7 +54,7 @@
   void change() {
     Update.Version = 2;
     Update.Changes = {{{"config", "new", 2}, false}};
-    Exchange.notify();
+    Exchange->notify();
   }
 
   //! Runs the event loop until the server has closed the connection.
@@ -115,3 +116,24 @@
       CHECK(countAnswers(Host.receiveAll(Peer)) == 1);
   }
 }
+
+// Guards against a timer whose handler uses a destroyed exchange.
+TEST_CASE("the end of an exchange ends the queries that wait for it") {
+  struct Case {
+    const char *Name;
+    bool Expired; //!< The wait of the query expires in the same turn.
+  };
+  for (const auto &C : {Case{"waiting", false}, Case{"expired", true}}) {
+    CAPTURE(C.Name);
+    QueriedHost Host;
+    Tcp::socket Peer = Host.query();
+    asio::steady_timer End(Host.Io, PeerWait / 2);
+    End.async_wait([&](boost::system::error_code) { Host.Exchange.reset(); });
+    if (C.Expired)
+      std::this_thread::sleep_for(PeerWait * 3);
+    while (Host.Exchange)
+      Host.Io.run_one();
+    CHECK(countAnswers(Host.receiveAll(Peer)) == 0);
+    CHECK(Host.Io.stopped());
+  }
+}
