Settle each feed of the store stand-in once

The handler also used a destroyed store.

The list of pending feeds is now their only owner, and whoever removes a feed settles it.

--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -181,13 +181,15 @@
   PendingFeeds.push_back(Pending);
   Pending->Timer.expires_after(std::chrono::milliseconds(
       number(transport::queryParameter(target(Request), "wait_ms"))));
-  Pending->Timer.async_wait([this, Pending](boost::system::error_code Failure) {
-    if (Failure)
+  Pending->Timer.async_wait([this, WeakPending = std::weak_ptr(Pending)](
+                                boost::system::error_code Failure) {
+    // A change or the destructor may have removed the feed after this handler
+    // was queued, which cancelling the timer does not undo.
+    const auto Due = WeakPending.lock();
+    if (Failure || !Due || std::erase(PendingFeeds, Due) == 0)
       return;
-    std::erase(PendingFeeds, Pending);
-    Pending->Reply(transport::jsonResponse(
-        Pending->Request, http::status::ok,
-        rowsBody(Pending->Table, Pending->After, true)));
+    Due->Reply(transport::jsonResponse(Due->Request, http::status::ok,
+                                       rowsBody(Due->Table, Due->After, true)));
   });
   answerChangedFeeds();
 }
--- a/standins/store/store_server.hpp
+++ b/standins/store/store_server.hpp
@@ -75,6 +75,8 @@
   std::uint64_t Oldest = 0; //!< Feeds from before this version get 410.
   std::uint64_t Calls = 0;
   StoreMode Mode = StoreMode::Serve;
+  //! Feeds without an answer, owned by this list only. Whoever removes one
+  //! answers it.
   std::list<std::shared_ptr<PendingFeed>> PendingFeeds;
   //! Calls that get no answer; their connections stay open.
   std::list<transport::HttpServer::Reply> Unanswered;
