End the connection of a request that fails by an exception

If serving a request ended by an exception, three things outlived the request: the watch on the caller's connection, which kept the connection open without an answer and used the destroyed request when the caller closed it; the entry in the list of running requests, which a planned stop uses; and, in the entry host, the exception was dropped without a log line.

The watch and the list entry are now scoped objects (CallerWatch, ScopedRegistration), and a session that fails resets its connection, since a part of an answer may have been sent. The entry host logs the exception.

The two new tests make a parser of the gateway and a message of the entry host throw.

--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -17,6 +17,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace masticgap::entry {
@@ -59,10 +60,6 @@
   boost::asio::awaitable<bool> writePart(std::span<const char> Bytes,
                                          bool Last);
 
-  //! Calls OnGone once if the caller closes its connection before unwatch().
-  void watch(std::function<void()> OnGone);
-  void unwatch() { OnGone = {}; }
-
   //! Returns the IP address of the caller; empty when it is not connected.
   std::string address() const;
   //! Returns whether received bytes are unread, for example those of a request
@@ -91,8 +88,12 @@
   void closeAfterAnswer() { CloseAfterAnswer = true; }
 
 private:
+  friend class CallerWatch;
+
   boost::asio::awaitable<boost::system::error_code>
   readSome(std::span<char> Into, std::size_t &BytesRead);
+  void watch(std::function<void()> OnGone);
+  void unwatch() { OnGone = {}; }
   void armWatch();
   void onReadable();
   //! Reads at most one byte without removing it.
@@ -121,4 +122,22 @@
   bool LastAnswerKeptAlive = true;
 };
 
+//! Detects during its lifetime that the caller closes its connection. Only one
+//! watch of a connection may exist at a time.
+class CallerWatch {
+public:
+  //! \param Caller outlives the watch.
+  //! \param OnGone is called at most once.
+  CallerWatch(CallerConnection &Caller, std::function<void()> OnGone)
+      : Caller(Caller) {
+    Caller.watch(std::move(OnGone));
+  }
+  ~CallerWatch() { Caller.unwatch(); }
+  CallerWatch(const CallerWatch &) = delete;
+  CallerWatch &operator=(const CallerWatch &) = delete;
+
+private:
+  CallerConnection &Caller;
+};
+
 } // namespace masticgap::entry
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -91,15 +91,15 @@
 asio::awaitable<void> RequestHandler::serve() {
   State.record(EventKind::RequestReceived, fields());
   // While a large body is read, the reader detects a closed connection.
+  std::optional<CallerWatch> Watch;
   if (!Request.Streamed)
-    Caller.watch([this] { callerGone(); });
+    Watch.emplace(Caller, [this] { callerGone(); });
   if (Request.Repeatable) {
     RequestResult Result = co_await dispatch();
     co_await answer(std::move(Result));
   } else {
     co_await serveAtMostOnce();
   }
-  Caller.unwatch();
 }
 
 void RequestHandler::callerGone() {
--- a/src/entry/traffic_server.cpp
+++ b/src/entry/traffic_server.cpp
@@ -3,11 +3,13 @@
 #include "entry/local_answer.hpp"
 #include "entry/request_check.hpp"
 #include "entry/request_handler.hpp"
+#include "entry/scoped_registration.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
+#include <exception>
 #include <utility>
 
 namespace masticgap::entry {
@@ -35,7 +37,8 @@
   asio::awaitable<void> serveRequest(CallerConnection &Caller,
                                      CallerRequest &Request);
   asio::awaitable<void> refuse(CallerConnection &Caller, Refusal Refused);
-  void onSessionEnded(const std::shared_ptr<CallerConnection> &Caller);
+  void onSessionEnded(const std::shared_ptr<CallerConnection> &Caller,
+                      const std::exception_ptr &Failure);
 
   TrafficState &State;
   Tcp::acceptor Acceptor;
@@ -63,8 +66,8 @@
         Caller->closeAfterAnswer();
       Self->Callers.insert(Caller);
       asio::co_spawn(Self->State.Context.Io, Self->session(Caller),
-                     [Self, Caller](const std::exception_ptr &) {
-                       Self->onSessionEnded(Caller);
+                     [Self, Caller](const std::exception_ptr &Failure) {
+                       Self->onSessionEnded(Caller, Failure);
                      });
     }
     Self->accept();
@@ -72,7 +75,18 @@
 }
 
 void TrafficServer::Impl::onSessionEnded(
-    const std::shared_ptr<CallerConnection> &Caller) {
+    const std::shared_ptr<CallerConnection> &Caller,
+    const std::exception_ptr &Failure) {
+  if (Failure) {
+    try {
+      std::rethrow_exception(Failure);
+    } catch (const std::exception &Problem) {
+      LOG_EVERY_N(ERROR, 100)
+          << "a caller's session failed: " << Problem.what();
+    }
+    // A part of an answer may have been sent.
+    Caller->abort();
+  }
   Callers.erase(Caller);
   if (Draining && Callers.empty() && OnEmpty)
     std::exchange(OnEmpty, {})();
@@ -131,9 +145,8 @@
     co_return;
   }
   RequestHandler Handler(State, Caller, Request);
-  ActiveHandlers.insert(&Handler);
+  const ScopedRegistration Registration(ActiveHandlers, Handler);
   co_await Handler.serve();
-  ActiveHandlers.erase(&Handler);
 }
 
 asio::awaitable<void> TrafficServer::Impl::refuse(CallerConnection &Caller,
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_server.hpp"
 
 #include "entry/caller_connection.hpp"
+#include "entry/scoped_registration.hpp"
 #include "gateway/request_flow.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -100,6 +101,8 @@
     } catch (const std::exception &Problem) {
       State.recordUnanswered({}, "session_failed", Problem.what());
     }
+    // A part of an answer may have been sent.
+    Caller->abort();
   }
   Callers.erase(Caller);
   if (Draining && Callers.empty() && OnEmpty)
@@ -137,9 +140,8 @@
   }
   Request.Streamed = !Caller.isBodyRead();
   RequestFlow Flow(State, Caller, Request);
-  Running.insert(&Flow);
+  const entry::ScopedRegistration Registration(Running, Flow);
   co_await Flow.serve();
-  Running.erase(&Flow);
   co_return Caller.isReusable();
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -71,15 +71,16 @@
   RequestFingerprint = transport::requestFingerprint(
       Request.Head, Request.Body, Request.Streamed, Caller.address());
   State.Dispatch.recordArrival(Service, ReceivedAt);
+  std::optional<entry::CallerWatch> Watch;
   if (!Request.Streamed)
-    Caller.watch([this] {
+    Watch.emplace(Caller, [this] {
       // A non-idempotent request that was sent continues: if it were
       // cancelled, it would be unknown whether it was executed.
       if (MatchedRoute->Idempotent || WorkersReached == 0)
         Control.cancel();
     });
   RequestOutcome End = co_await dispatch();
-  Caller.unwatch();
+  Watch.reset();
   co_await finish(std::move(End));
 }
 
--- a/tests/entry/forwarding.tests.cpp
+++ b/tests/entry/forwarding.tests.cpp
@@ -1,8 +1,10 @@
+#include "common/raw_caller.hpp"
 #include "entry/traffic_fixture.hpp"
 
 #include <doctest/doctest.h>
 
 #include <cstdint>
+#include <stdexcept>
 
 using namespace masticgap;
 using namespace masticgap::tests;
@@ -296,3 +298,22 @@
   // Suspicion and quarantine are reported to the peers.
   CHECK(Fixture.spread().size() >= 2);
 }
+
+// Guards against a connection that stays open, and against pointers to the
+// request that outlive it, when serving the request ends by an exception.
+TEST_CASE("a request that fails by an exception ends its connection") {
+  TrafficFixture Fixture;
+  Fixture.Reactions->set({Reaction::RefuseLeaving});
+  Fixture.runOnForwardingThread([&] {
+    Fixture.State->Context.Control.Spread = [](const Rumor &,
+                                               const std::function<void()> &) {
+      throw std::runtime_error("cannot spread");
+    };
+  });
+  const auto Received = receiveUntilClosed(
+      Fixture.local(), "GET /agenda/x HTTP/1.1\r\nHost: entry\r\n\r\n");
+  REQUIRE(Received);
+  CHECK(Received->empty());
+  Fixture.runOnForwardingThread(
+      [&] { CHECK(Fixture.Server->openConnections() == 0); });
+}
--- a/tests/gateway/gateway_daemon.tests.cpp
+++ b/tests/gateway/gateway_daemon.tests.cpp
@@ -1,8 +1,10 @@
+#include "common/raw_caller.hpp"
 #include "gateway/gateway_fixture.hpp"
 
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -401,3 +403,29 @@
         "masticgap_latency_seconds_count{stage=\"whole\",route=\"safe\"} 1"})
     CHECK(Text->body().find(Line) != std::string::npos);
 }
+
+// Guards against a connection that stays open, and against pointers to the
+// request that outlive it, when serving the request ends by an exception.
+TEST_CASE("a request that fails by an exception ends its connection") {
+  ScriptedWorker Worker([](std::size_t, const SeenRequest &) {
+    return workerAnswer(200, "id-1", "whole");
+  });
+  GatewayFixture F;
+  F.setLoadParser(
+      [](std::string_view) -> std::optional<coordination::QueueReport> {
+        throw std::runtime_error("no load");
+      });
+  F.putWorker("w1", Worker.endpoint());
+  F.putConfig(1);
+  F.start();
+  F.awaitReady();
+  const auto Received = receiveUntilClosed(
+      F.settings().Traffic,
+      "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\n\r\n");
+  const auto Metrics =
+      F.get({"127.0.0.1", F.settings().MetricsPort}, "/metrics");
+  REQUIRE(Received);
+  CHECK(Received->empty());
+  REQUIRE(Metrics);
+  CHECK(Metrics->body().find("session_failed") != std::string::npos);
+}
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -161,6 +161,8 @@
   gateway::PlatformApi Platform{platform::makeStoreApi(Io, Settings.Platform),
                                 platform::makeRowReader(Settings.DomainRegions),
                                 platform::makeWireFormat()};
+  if (ParseLoad)
+    Platform.Wire.ParseLoad = ParseLoad;
   Daemon = std::make_unique<gateway::GatewayDaemon>(
       Io, Settings, std::move(Platform),
       [Copy = Settings]() -> boost::leaf::result<gateway::GatewaySettings> {
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -42,6 +42,11 @@
     Settings.GracePeriod = Time;
   }
 
+  //! Sets the parser of the load that a worker reports.
+  void setLoadParser(decltype(gateway::WireFormat::ParseLoad) Parser) {
+    ParseLoad = std::move(Parser);
+  }
+
   //! Starts the gateway. It becomes ready once it has a worker and a
   //! configuration.
   void start();
@@ -72,6 +77,7 @@
   std::thread StoreThread;
   boost::asio::io_context Io{1};
   gateway::GatewaySettings Settings;
+  decltype(gateway::WireFormat::ParseLoad) ParseLoad;
   std::unique_ptr<gateway::GatewayDaemon> Daemon;
   std::thread Thread;
   bool Started = false;
