Extend the fault soak by bursts of changes after a quiet time

Exits were checked once at the end, on the last process of a gateway only.

The soak now runs 6 gateways, 4 of them in one failure domain. A burst waits 6.5 to 9.5 s without changes, then makes 5 to 30 changes of the configuration and of workers, in three of four cases while one gateway or the whole domain is stopped by SIGSTOP. Some rows are unreadable, as another writer might leave them, and some workers announce the end of their connections. Each exit that no sent signal explains is a violation when it happens, with its code and the last lines of the log. When service does not come back, the stacks are written beside the logs. SIGHUP is left out and SIGTERM becomes SIGKILL for a process that has not installed its handlers.

--- a/scripts/local/soak.py
+++ b/scripts/local/soak.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -14,14 +15,18 @@
 import threading
 import time
 
-from soak_world import Caller, Proxy, Worker
+from soak_world import Caller, Proxy, Worker, unreadable_row
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-GATEWAYS, WORKERS, CALLERS = 4, 6, 8
+GATEWAYS, WORKERS, CALLERS = 6, 6, 10
 GRACE_S = 3.0       # Grace period of a planned stop, as in the settings.
 DRAIN_S = 2.5       # Time after which a leaving worker may get no request.
 RECOVERY_S = 15.0   # Time limit for serving requests again after the last fault.
 RETRY_RATIO, RETRY_SLACK = 0.2, 40
+BURST_SHARE = 0.15  # Share of the faults with which a burst of changes begins.
+# A gateway answers a peer's query after 7 to 10 s without changes. Time without changes before a burst.
+QUIET_S = (6.5, 9.5)
+LOG_TAIL = 12       # Lines of the log that are shown for an unexpected exit.
 # Seeds that failed once, with the cause; they run before new ones.
 KEPT_SEEDS = {
     202: "ports of the ephemeral range were taken by connections of another run; one gateway did not start",
@@ -47,14 +52,18 @@
         self.proxy = Proxy(("127.0.0.1", world.store_port))
         self.run = 0
         self.faults = []  # (time, kind) of each injected fault and signal.
-        self.child = None
+        self.child = self.watcher = None
         self.lock = threading.Lock()
         self.log = open(world.directory / f"gateway-{number}.log", "ab")
 
+    def domain(self):
+        """Returns the failure domain; most gateways share one, so that its readers have several waiting peers."""
+        return "d1" if self.number % 3 else "d2"
+
     def settings(self):
         host = f"{self.address}:"
         return {
-            "host": f"g{self.number}", "region": "r1", "failure_domain": f"d{self.number % 2 + 1}",
+            "host": f"g{self.number}", "region": "r1", "failure_domain": self.domain(),
             "failure_domains": {"d1": "r1", "d2": "r1"},
             "traffic": host + str(self.ports["traffic"]), "readiness": host + str(self.ports["ready"]),
             "lookup": host + str(self.ports["lookup"]), "gossip_port": self.ports["gossip"],
@@ -69,11 +78,43 @@
         self.child = subprocess.Popen(
             [str(self.world.bin / "masticgap-gateway"), "--settings", str(path)],
             stdout=self.log, stderr=self.log)
+        self.child.signals, self.child.ready = set(), False
+        self.watcher = threading.Thread(target=self.watch, args=(self.child, self.run), daemon=True)
+        self.watcher.start()
+
+    @staticmethod
+    def handles_signals(child):
+        """Returns whether the process has installed its handlers of signals."""
+        try:
+            status = pathlib.Path(f"/proc/{child.pid}/status").read_text()
+        except OSError:
+            return False  # It has ended.
+        caught = next((line.split()[1] for line in status.splitlines() if line.startswith("SigCgt:")), "0")
+        return bool(int(caught, 16) >> (signal.SIGHUP - 1) & 1)
+
+    def watch(self, child, run):
+        """Records an exit that no signal of the soak explains, as it happens."""
+        while child.poll() is None and not self.handles_signals(child):
+            time.sleep(0.02)
+        child.ready = True
+        code = child.wait()
+        expected = {signal.SIGTERM: 0, signal.SIGKILL: -signal.SIGKILL}
+        if code in (expected.get(number) for number in child.signals):
+            return
+        lines = pathlib.Path(self.log.name).read_text(errors="replace").splitlines()[-LOG_TAIL:]
+        self.world.violate("\n    ".join([f"g{self.number} run {run} ended by itself with {code}; last lines:", *lines]))
 
     def signal(self, number):
+        child = self.child
+        if not child.ready and number in (signal.SIGTERM, signal.SIGHUP):
+            # A process that is starting does not handle these signals yet.
+            if number == signal.SIGHUP:
+                return
+            number = signal.SIGKILL
         self.faults.append((time.monotonic(), number))
-        if self.child.poll() is None:
-            self.child.send_signal(number)
+        child.signals.add(number)
+        if child.poll() is None:
+            child.send_signal(number)
 
     def state(self):
         """Returns scheduler state and CPU time, to distinguish a stopped, a waiting and a spinning process."""
@@ -83,6 +124,16 @@
             return f"g{self.number} ended"
         return f"g{self.number} {fields[0]} {(int(fields[11]) + int(fields[12])) / 100:.2f} s"
 
+    def write_stack(self):
+        """Writes the stack of the process beside its log, if gdb is installed and may attach."""
+        if shutil.which("gdb") and self.child.poll() is None:
+            with open(self.world.directory / f"stack-{self.number}.txt", "wb") as output:
+                try:
+                    subprocess.run(["gdb", "-p", str(self.child.pid), "-batch", "-ex", "bt"],
+                                   stdout=output, stderr=output, timeout=60, check=False)
+                except subprocess.TimeoutExpired:
+                    output.write(b"gdb exceeded its time limit\n")
+
     def disturbed(self, begun, but=()):
         """Returns whether a fault other than those in `but` occurred since 3 s before `begun`."""
         return any(at > begun - 3 and kind not in but for at, kind in self.faults)
@@ -101,6 +152,9 @@
         self.results = []
         self.violations = []
         self.version = 0
+        self.burst_random = random.Random(f"burst {seed}")
+        self.burst_thread = None
+        self.bursts = 0
         self.extra_routes = []
         self.served_routes = {}
         self.last_store_fault = 0.0
@@ -221,7 +275,7 @@
                 gateway.child.wait(GRACE_S + 3)
             except subprocess.TimeoutExpired:
                 self.violate(f"g{gateway.number} outlived its grace period")
-                gateway.child.kill()
+                gateway.signal(signal.SIGKILL)
                 gateway.child.wait()
             with gateway.lock:
                 # An overlapping restart may have started it already.
@@ -233,6 +287,44 @@
         gateway.signal(signal.SIGSTOP)
         self.later(self.random.uniform(0.3, 2.5), gateway.signal, signal.SIGCONT)
 
+    def rewrite_worker(self, pick):
+        worker = pick.choice(self.workers)
+        self.control(f"put=servers&key={worker.id}", worker.row())
+
+    def start_burst(self):
+        if self.burst_thread and self.burst_thread.is_alive():
+            return
+        self.burst_thread = threading.Thread(target=self.burst, daemon=True)
+        self.burst_thread.start()
+
+    def burst(self):
+        """Changes rows in quick succession after a quiet time, often while gateways are stopped."""
+        pick = self.burst_random
+        # The waits for both tables begin anew with a change.
+        self.put_config()
+        self.rewrite_worker(pick)
+        time.sleep(pick.uniform(*QUIET_S))
+        domain = [gateway for gateway in self.gateways if gateway.domain() == "d1"]
+        stopped = pick.choice([[], [pick.choice(domain)], domain, domain])
+        self.calm_from = time.monotonic() + 8
+        for gateway in stopped:
+            gateway.signal(signal.SIGSTOP)
+        time.sleep(pick.uniform(0.2, 1.5) if stopped else 0)
+        for number in range(pick.randint(5, 30)):
+            change = pick.choice(["config", "worker", "unreadable"])
+            if change == "config":
+                self.put_config()
+            elif change == "worker":
+                self.rewrite_worker(pick)
+            else:
+                key = f"other-writer-{number}"
+                self.control(f"put=servers&key={key}", unreadable_row(pick))
+                self.later(pick.uniform(0, 1), self.control, f"remove=servers&key={key}")
+            time.sleep(pick.uniform(0, 0.05))
+        for gateway in stopped:
+            gateway.signal(signal.SIGCONT)
+        self.bursts += 1
+
     def store_mode(self, mode, seconds):
         self.control("mode=" + mode)
         for gateway in self.gateways:
@@ -264,6 +356,11 @@
             "proxy": lambda: self.proxy_mode(gateway, pick.choice(["cut", "delay", "silent", "oneway"]), seconds),
         }
         kind = pick.choice(sorted(choices))
+        if self.burst_random.random() < BURST_SHARE:
+            self.start_burst()
+        if self.burst_thread and self.burst_thread.is_alive() and kind in (
+                "config", "route", "drain", "crash", "store", "proxy"):
+            return  # The quiet time before a burst has no changes of the store.
         choices[kind]()
         # Late requests to a leaving worker count only while there are no unplanned faults.
         if kind not in ("config", "route", "drain", "hup", "term"):
@@ -288,10 +385,9 @@
                 self.fault()
                 if self.random.random() < 0.25:
                     self.fault()
+            if self.burst_thread:
+                self.burst_thread.join()
             self.heal()
-            for gateway in self.gateways:
-                if gateway.child.poll() not in (None, 0, -signal.SIGKILL):
-                    self.violate(f"g{gateway.number} ended by itself with {gateway.child.returncode}")
             self.await_service(RECOVERY_S)
             self.ended = True
             for caller in callers:
@@ -306,10 +402,9 @@
         """Ends all processes of this world."""
         self.ended = True
         for gateway in self.gateways:
-            if gateway.child and gateway.child.poll() is None:
-                gateway.child.send_signal(signal.SIGCONT)
-                gateway.child.kill()
-                gateway.child.wait()
+            if gateway.child:
+                gateway.signal(signal.SIGKILL)
+                gateway.watcher.join()
         self.store.kill()
         self.store.wait()
         for worker in self.workers:
@@ -343,6 +438,8 @@
                 return
             time.sleep(0.05)
         states = ", ".join(gateway.state() for gateway in self.gateways)
+        for gateway in self.gateways:
+            gateway.write_stack()
         self.violate(f"no 20 requests in a row were served within {limit} s, the last run had {good}; {states}")
 
     def judge(self):
@@ -393,7 +490,7 @@
         world = World(seed, options.seconds, options.bin)
         violations = world.play()
         statuses = collections.Counter(result[3] for result in world.results)
-        print(f"seed {seed}: {len(world.results)} requests {dict(sorted(statuses.items()))}, "
+        print(f"seed {seed}: {len(world.results)} requests {dict(sorted(statuses.items()))}, {world.bursts} bursts, "
               f"{len(violations)} violations, logs in {world.directory}", flush=True)
         for violation in violations[:10]:
             print("  " + violation, flush=True)
--- a/scripts/local/soak_world.py
+++ b/scripts/local/soak_world.py
@@ -10,6 +10,18 @@
 import time
 
 
+def unreadable_row(pick):
+    """Returns the row of a worker as another writer might leave it, with a value that cannot be used."""
+    row = {"service": "svc", "address": "127.0.0.1:9", "zone": "d1", "version": "v1", "slots": 4, "state": "ready",
+           "cold_remaining": "0ms", "sequence_number": 1, "born": 1}
+    return pick.choice([
+        "[" * 10000, '{"slots": ' * 200 + "1" + "}" * 200, "not JSON", "", "\0\xff",
+        json.dumps(row).replace('"slots": 4', '"slots": 1e999'),
+        json.dumps(row | {"born": 10**40}),
+        json.dumps(row | {"address": "127.0.0.1:70000"}),
+        json.dumps(row | {"address": "127.0.0.1:-1"})])
+
+
 class Worker:
     """HTTP worker with a limited number of slots; the soak sets its faults."""
 
@@ -19,6 +31,7 @@
         self.running = 0
         self.slow = 1.0
         self.lose = 0.0  # Share of answers that are lost after execution.
+        self.close = random.choice([0, 0, 0.2])  # Share of answers that announce the end of the connection.
         self.stopped = False
         self.left_at = None
         self.lock = threading.Lock()
@@ -37,6 +50,8 @@
                 self.send_header("Attempt-Id", self.headers.get("Attempt-Id", ""))
                 self.send_header("Server-Load", f"{worker.running},0,{worker.slots}")
                 self.send_header("Content-Length", str(len(body)))
+                if random.random() < worker.close:
+                    self.send_header("Connection", "close")
                 self.end_headers()
                 self.wfile.write(body)
 
