Accept one refusal per request id and connection

A worker that wrote a refusal once more on a kept connection could make a request count as "not run" although the worker executed it: if the same request id was sent again on that connection, a copy of the earlier refusal matched it. Callers would see 503 for an executed request, or the request would be sent to a second worker.

The connection now keeps the hashes of the ids that were refused on it. A second refusal of the same id ends the attempt as "connection lost". A connection with 256 refusals is closed, which bounds the memory.

The dispatcher never sends one caller attempt to the same worker twice, so on the platform, where each attempt has its own id, this requires a caller that uses an id twice.

The new table in worker_exchange.tests.cpp covers copies in the segment of the first refusal, on an idle connection, and after the next request, with other, no and the same id, with HEAD, bodies, chunked bodies and many copies, with both settings of SkipMismatchedAnswers. Without the fix, the three cases with the same id after the request failed (12 checks: "CHECK_FALSE( provedNotRun(Second) ) is NOT correct"); the other cases passed. The new test in gateway_daemon.tests.cpp passed on the unchanged code: ids of their own protect the requests of the platform's callers.

--- a/src/masticgap/transport/worker_connection.hpp
+++ b/src/masticgap/transport/worker_connection.hpp
@@ -7,6 +7,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <cstddef>
+#include <vector>
+
 namespace masticgap::transport {
 
 //! Connection to a worker, with its read buffer.
@@ -18,6 +21,8 @@
   boost::beast::flat_buffer Buffer;
   coordination::ConnectionHealth Health;
   bool Reused = false; //!< Has carried an earlier request.
+  //! Hashes of the ids of the requests that were refused on this connection.
+  std::vector<std::size_t> RefusedIds;
 };
 
 } // namespace masticgap::transport
--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -33,6 +33,9 @@
 //! Maximum number of answers to other requests that one exchange skips.
 constexpr int MaxSkippedAnswers = 3;
 constexpr std::size_t SkipBufferBytes = 64 * 1024;
+//! A connection that has carried more refusals is not reused, which bounds the
+//! memory for their ids.
+constexpr std::size_t MaxRefusals = 256;
 //! An idle connection is closed this long before the worker would close it.
 constexpr std::chrono::seconds IdleMargin{1};
 
@@ -297,7 +300,7 @@
 }
 
 std::optional<AttemptEnd>
-WorkerExchange::checkHead(std::string_view RequestId) const {
+WorkerExchange::checkHead(std::string_view RequestId) {
   const auto &Head = Answer->get().base();
   // An answer with the id of another request belongs to that request. On a
   // reused connection, an answer without an id may be a late answer to an
@@ -306,8 +309,16 @@
   const std::string_view EchoText(Echo.data(), Echo.size());
   if (EchoText.empty() ? Lease->connection().Reused : EchoText != RequestId)
     return End::ConnectionLost;
-  if (const auto Refusal = Options.Dialect->Refusal(Head))
+  if (const auto Refusal = Options.Dialect->Refusal(Head)) {
+    // A second refusal of the same id may be a copy of the first, sent before
+    // the worker read this request.
+    auto &Refused = Lease->connection().RefusedIds;
+    const std::size_t Hash = std::hash<std::string_view>()(RequestId);
+    if (std::ranges::find(Refused, Hash) != Refused.end())
+      return End::ConnectionLost;
+    Refused.push_back(Hash);
     return Refusal;
+  }
   if (Options.Dialect->AllowUnframedAnswers)
     return std::nullopt;
   // An answer without a length ends with its connection and cannot be
@@ -353,7 +364,8 @@
   const bool EchoesRequestId = !head()[Options.Dialect->RequestIdField].empty();
   const bool Reusable = EchoesRequestId && Answer->get().keep_alive() &&
                         !SendPending && !Answer->need_eof() &&
-                        Lease->connection().Buffer.size() == 0;
+                        Lease->connection().Buffer.size() == 0 &&
+                        Lease->connection().RefusedIds.size() < MaxRefusals;
   if (const auto IdleLimit = statedIdleLimit(head()))
     Lease->connection().Health.limitIdle(*IdleLimit - IdleMargin);
   if (Reusable)
--- a/src/masticgap/transport/worker_exchange.hpp
+++ b/src/masticgap/transport/worker_exchange.hpp
@@ -121,7 +121,7 @@
   boost::asio::awaitable<std::optional<End>> readHead(bool HeadMethod,
                                                       AttemptControl &Control);
   boost::asio::awaitable<void> skipBody(AttemptControl &Control);
-  std::optional<End> checkHead(std::string_view RequestId) const;
+  std::optional<End> checkHead(std::string_view RequestId);
   End classify(boost::system::error_code Error, End DefaultEnd,
                const AttemptControl &Control) const;
   void limitTime();
--- a/tests/common/scripted_worker.cpp
+++ b/tests/common/scripted_worker.cpp
@@ -45,6 +45,13 @@
   return Requests;
 }
 
+void ScriptedWorker::sendUnasked(std::string_view Bytes) {
+  const std::lock_guard<std::mutex> Guard(Lock);
+  if (!Connections.empty())
+    ::send(Connections.back()->native_handle(), Bytes.data(), Bytes.size(),
+           MSG_NOSIGNAL);
+}
+
 void ScriptedWorker::accept() {
   while (true) {
     auto Connection = std::make_shared<Socket>(Io);
@@ -53,6 +60,7 @@
     const std::lock_guard<std::mutex> Guard(Lock);
     if (Failure || Stopped)
       return;
+    Connection->set_option(Tcp::no_delay(true), Failure);
     Connections.push_back(Connection);
     Threads.emplace_back([this, Connection] { serve(Connection); });
   }
@@ -96,6 +104,12 @@
     const bool CloseAfter = Answer.ends_with(Close);
     if (CloseAfter)
       Answer.resize(Answer.size() - std::string_view(Close).size());
+    const std::string_view Separator = Split;
+    std::size_t At = 0;
+    while ((At = Answer.find(Separator)) != std::string::npos) {
+      asio::write(*Connection, asio::buffer(Answer, At), Failure);
+      Answer.erase(0, At + Separator.size());
+    }
     asio::write(*Connection, asio::buffer(Answer), Failure);
     if (Failure)
       return;
--- a/tests/common/scripted_worker.hpp
+++ b/tests/common/scripted_worker.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -27,7 +28,8 @@
   //! Returns the bytes of the answer to a request, given its number from 0. The
   //! connection is closed after an answer that ends with Close and reset after
   //! one that ends with Reset. Silent sends nothing and keeps it open. Crash
-  //! resets it and stops accepting connections.
+  //! resets it and stops accepting connections. The parts of an answer between
+  //! Split are sent separately.
   using Script = std::function<std::string(std::size_t, const SeenRequest &)>;
 
   explicit ScriptedWorker(Script Answers);
@@ -37,11 +39,14 @@
 
   Endpoint endpoint() const;
   std::vector<SeenRequest> seen() const;
+  //! Sends bytes on the newest connection, independently of its requests.
+  void sendUnasked(std::string_view Bytes);
 
   static constexpr const char *Close = "\x01close";
   static constexpr const char *Reset = "\x01reset";
   static constexpr const char *Crash = "\x01crash";
   static constexpr const char *Silent = "\x01silent";
+  static constexpr const char *Split = "\x01split";
 
 private:
   using Socket = boost::asio::ip::tcp::socket;
--- a/tests/gateway/gateway_daemon.tests.cpp
+++ b/tests/gateway/gateway_daemon.tests.cpp
@@ -115,6 +115,49 @@
   }
 }
 
+// Guards against a false promise that a request has not run, and against a
+// request that runs twice.
+TEST_CASE("a repeated refusal of a worker does not affect later requests") {
+  const std::string First =
+      workerAnswer(503, "id-0", "", "Not-Executed: 1\r\n");
+  const std::string Copies[] = {
+      First,
+      workerAnswer(429, "id-0", "full", "Not-Executed: 1\r\n"),
+      workerAnswer(421, "id-0", "", ""),
+  };
+  for (const std::string &Copy : Copies) {
+    CAPTURE(Copy);
+    const auto Script = [&](std::size_t Number, const SeenRequest &Seen) {
+      const std::string Name = "Attempt-Id: ";
+      const std::size_t At = Seen.Head.find(Name) + Name.size();
+      const std::string Id =
+          Seen.Head.substr(At, Seen.Head.find('\r', At) - At);
+      return Number == 0 ? First : Copy + workerAnswer(200, Id, "whole");
+    };
+    ScriptedWorker One(Script);
+    ScriptedWorker Two(Script);
+    GatewayFixture F;
+    F.putWorker("w1", One.endpoint());
+    F.putWorker("w2", Two.endpoint());
+    F.putConfig(1);
+    F.start();
+    F.awaitReady();
+    const auto Refused = F.send("/unsafe/x", "body", "id-0");
+    REQUIRE(Refused);
+    CHECK(Refused->result_int() == 503);
+    int Served = 0;
+    for (int I = 1; I <= 10; ++I) {
+      const std::string Id = "id-" + std::to_string(I) + "-";
+      const auto Answer = F.send("/unsafe/x", "body", Id);
+      REQUIRE(Answer);
+      const std::size_t Arrived = arrivals(One, Id) + arrivals(Two, Id);
+      CHECK(Arrived == (Answer->result_int() == 503 ? 0 : 1));
+      Served += Answer->result_int() == 200;
+    }
+    CHECK(Served > 0);
+  }
+}
+
 // Guards against a host that is reported as ready before it can serve requests,
 // and against a temporary failure that is reported without Retry-After.
 TEST_CASE("a request that cannot be served is rejected with the right status") {
--- a/tests/transport/worker_exchange.tests.cpp
+++ b/tests/transport/worker_exchange.tests.cpp
@@ -1,6 +1,7 @@
 #include "masticgap/transport/worker_exchange.hpp"
 
 #include "common/fake_worker.hpp"
+#include "common/scripted_worker.hpp"
 #include "masticgap/transport/boot_clock.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +15,8 @@
 using coordination::AttemptEnd;
 using tests::FakeWorker;
 using tests::Reaction;
+using tests::ScriptedWorker;
+using tests::SeenRequest;
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
@@ -26,6 +29,9 @@
   WorkerConnectionPool Pool{Io, [this] { return Time; }, "127.0.0.1"};
   std::string Body;
   std::size_t MaxConnections = 4;
+  std::string RequestId = "mine";
+  http::verb Method = http::verb::post;
+  const WorkerDialect *Dialect = &nativeWorkerDialect();
 
   WorkerTarget target(const Endpoint &To) const {
     return {WorkerId("w"), Incarnation{1}, To, MaxConnections};
@@ -47,16 +53,19 @@
   asio::awaitable<AttemptEnd> exchange(WorkerTarget To, bool Repeatable,
                                        std::chrono::milliseconds Timeout) {
     OutgoingRequest Request;
-    Request.Head.method(http::verb::post);
+    Request.Head.method(Method);
     Request.Head.target("/x");
     Request.Head.version(11);
-    Request.Head.set("Masticgap-Request-Id", "mine");
-    Request.Head.set(http::field::content_length, "2");
-    Request.Body = "ab";
+    Request.Head.set("Masticgap-Request-Id", RequestId);
+    if (Method == http::verb::post) {
+      Request.Head.set(http::field::content_length, "2");
+      Request.Body = "ab";
+    }
     ExchangeOptions Options;
     Options.Repeatable = Repeatable;
     Options.Deadline = Time + Timeout;
     Options.ConnectTimeout = std::chrono::seconds(60);
+    Options.Dialect = Dialect;
     WorkerExchange Exchange(
         Pool, [this] { return Time; }, Options);
     AttemptControl Control;
@@ -82,6 +91,20 @@
   return {"127.0.0.1", Unused.local_endpoint().port()};
 }
 
+//! Returns the head of a refusal up to its last header field.
+std::string refusalHead(std::string_view Id, std::string_view Kind) {
+  std::string Head = "HTTP/1.1 503 X\r\n";
+  if (!Id.empty())
+    Head.append("Masticgap-Request-Id: ").append(Id).append("\r\n");
+  return Head.append("Worker-Refused: ").append(Kind).append("\r\n");
+}
+
+//! Rest of an answer, after its last header field but one.
+constexpr const char *NoBody = "Content-Length: 0\r\n\r\n";
+constexpr const char *ShortBody = "Content-Length: 5\r\n\r\nsorry";
+constexpr const char *ChunkedBody =
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nsorry\r\n0\r\n\r\n";
+
 } // namespace
 
 // Guards against wrong classifications: a request that is wrongly taken as not
@@ -211,3 +234,89 @@
   E.Pool.sweep([](const WorkerId &, Incarnation) { return false; });
   CHECK(E.Pool.openConnections() == 0);
 }
+
+// Guards against a request that is reported as not run, or that is sent to a
+// second worker, although the worker executed it.
+TEST_CASE("a repeated refusal of an earlier request refuses no later one") {
+  enum class Arrival { WithFirst, Idle, HalfIdle, BeforeAnswer };
+  struct Case {
+    std::string Name;
+    Arrival When;
+    const char *CopyId;
+    const char *Rest; //!< Of the copy, after the field of the refusal.
+    int Copies = 1;
+    const char *SecondId = "second";
+    http::verb Method = http::verb::post;
+    bool Split = false;
+  };
+  const Case Cases[] = {
+      {"in the same segment", Arrival::WithFirst, "first", NoBody},
+      {"in the same segment, no id", Arrival::WithFirst, "", NoBody},
+      {"while idle", Arrival::Idle, "first", NoBody},
+      {"while idle, no id", Arrival::Idle, "", NoBody},
+      {"while idle, same id", Arrival::Idle, "same", NoBody, 1, "same"},
+      {"begins while idle", Arrival::HalfIdle, "first", ShortBody},
+      {"after the request", Arrival::BeforeAnswer, "first", NoBody},
+      {"after the request, no id", Arrival::BeforeAnswer, "", NoBody},
+      {"after the request, same id", Arrival::BeforeAnswer, "same", NoBody, 1,
+       "same"},
+      {"body", Arrival::BeforeAnswer, "first", ShortBody},
+      {"chunked body", Arrival::BeforeAnswer, "first", ChunkedBody},
+      {"chunked body, same id", Arrival::BeforeAnswer, "same", ChunkedBody, 1,
+       "same"},
+      {"split", Arrival::BeforeAnswer, "first", ShortBody, 1, "second",
+       http::verb::post, true},
+      {"HEAD", Arrival::BeforeAnswer, "first", NoBody, 1, "second",
+       http::verb::head},
+      {"HEAD, no id", Arrival::BeforeAnswer, "", NoBody, 1, "second",
+       http::verb::head},
+      {"HEAD and a body", Arrival::BeforeAnswer, "first", ShortBody, 1,
+       "second", http::verb::head},
+      {"many", Arrival::BeforeAnswer, "first", ShortBody, 10},
+      {"many, same id", Arrival::BeforeAnswer, "same", NoBody, 10, "same"},
+  };
+  WorkerDialect Skipping = nativeWorkerDialect();
+  Skipping.SkipMismatchedAnswers = true;
+  Skipping.AllowUnframedAnswers = true;
+  for (const auto &C : Cases) {
+    for (const bool Skips : {false, true}) {
+      for (const char *Kind : {"full", "leaving"}) {
+        CAPTURE(C.Name);
+        CAPTURE(Skips);
+        CAPTURE(Kind);
+        const bool SameId = std::string_view(C.SecondId) == "same";
+        const char *FirstId = SameId ? C.SecondId : "first";
+        const std::string First = refusalHead(FirstId, Kind) + NoBody;
+        std::string Copies;
+        for (int I = 0; I < C.Copies; ++I)
+          Copies.append(refusalHead(C.CopyId, Kind))
+              .append(C.Split ? ScriptedWorker::Split : "")
+              .append(C.Rest);
+        const std::string Executed =
+            std::string("HTTP/1.1 200 X\r\nMasticgap-Request-Id: ") +
+            C.SecondId + "\r\nContent-Length: 5\r\n\r\n" +
+            (C.Method == http::verb::head ? "" : "whole");
+        ScriptedWorker Worker([&](std::size_t Number, const SeenRequest &) {
+          if (Number == 0)
+            return C.When == Arrival::WithFirst ? First + Copies : First;
+          return C.When == Arrival::BeforeAnswer ? Copies + Executed : Executed;
+        });
+        Exchanges E;
+        E.Dialect = Skips ? &Skipping : &nativeWorkerDialect();
+        E.Method = C.Method;
+        E.RequestId = FirstId;
+        REQUIRE(coordination::provedNotRun(E.run(Worker.endpoint(), false)));
+        if (C.When == Arrival::Idle)
+          Worker.sendUnasked(Copies);
+        if (C.When == Arrival::HalfIdle)
+          Worker.sendUnasked(Copies.substr(0, Copies.size() / 2));
+        E.RequestId = C.SecondId;
+        const AttemptEnd Second = E.run(Worker.endpoint(), false);
+        CHECK_FALSE(coordination::provedNotRun(Second));
+        CHECK(Worker.seen().size() == 2);
+        if (C.When != Arrival::BeforeAnswer)
+          CHECK((Second == AttemptEnd::Answered));
+      }
+    }
+  }
+}
