Reject an answer whose head contains a second status line

A worker that sent the beginning of an old refusal, cut off within a header field, and then the answer to the present request made both look like one refusal with the id of the present request. An executed request was reported as not run, or was sent to a second worker.

The status line of the second answer is then part of a header value or of the reason phrase. Such a head now ends the attempt as "connection lost".

The new test failed before the fix for both cut refusals: the attempt ended as refused and the connection was kept ("CHECK( 1 == 0 )" open connections).

--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -63,6 +63,33 @@
   return std::chrono::seconds(Seconds);
 }
 
+//! Returns whether the text contains a status line ("HTTP/1.1 200").
+bool containsStatusLine(std::string_view Text) {
+  constexpr std::string_view Protocol = "HTTP/1.";
+  constexpr std::size_t Length = Protocol.size() + std::size("1 200") - 1;
+  const auto IsDigit = [](char C) { return C >= '0' && C <= '9'; };
+  for (std::size_t At = Text.find(Protocol); At != std::string_view::npos;
+       At = Text.find(Protocol, At + 1)) {
+    if (At + Length > Text.size())
+      return false;
+    const auto Rest = Text.substr(At + Protocol.size(), Length);
+    if (IsDigit(Rest[0]) && Rest[1] == ' ' && IsDigit(Rest[2]))
+      return true;
+  }
+  return false;
+}
+
+//! Returns whether the head contains a second status line. Such a head is the
+//! beginning of one answer joined with another answer.
+bool isJoined(const http::response_header<> &Head) {
+  const auto Contains = [](boost::beast::string_view Text) {
+    return containsStatusLine({Text.data(), Text.size()});
+  };
+  return Contains(Head.reason()) ||
+         std::ranges::any_of(
+             Head, [&](const auto &Field) { return Contains(Field.value()); });
+}
+
 } // namespace
 
 WorkerExchange::WorkerExchange(WorkerConnectionPool &Pool,
@@ -309,6 +336,8 @@
   const std::string_view EchoText(Echo.data(), Echo.size());
   if (EchoText.empty() ? Lease->connection().Reused : EchoText != RequestId)
     return End::ConnectionLost;
+  if (isJoined(Head))
+    return End::ConnectionLost;
   if (const auto Refusal = Options.Dialect->Refusal(Head)) {
     // A second refusal of the same id may be a copy of the first, sent before
     // the worker read this request.
--- a/tests/transport/worker_exchange.tests.cpp
+++ b/tests/transport/worker_exchange.tests.cpp
@@ -320,3 +320,24 @@
     }
   }
 }
+
+// Guards against an answer of a worker that executed the request being read as
+// a part of a refusal that was cut off before it.
+TEST_CASE("a refusal that is joined with a later answer is not accepted") {
+  const char *const CutRefusals[] = {
+      "HTTP/1.1 503 X\r\nWorker-Refused: full\r\nX-Note: cut",
+      "HTTP/1.1 503 X\r\nWorker-Refused: leaving\r\nX-Note:",
+  };
+  for (const char *Cut : CutRefusals) {
+    CAPTURE(Cut);
+    ScriptedWorker Worker([&](std::size_t Number, const SeenRequest &) {
+      const std::string Answer = "HTTP/1.1 200 X\r\nMasticgap-Request-Id: mine"
+                                 "\r\nContent-Length: 5\r\n\r\nwhole";
+      return Number == 0 ? Answer : Cut + Answer;
+    });
+    Exchanges E;
+    REQUIRE((E.run(Worker.endpoint(), false) == AttemptEnd::Answered));
+    CHECK((E.run(Worker.endpoint(), false) == AttemptEnd::ConnectionLost));
+    CHECK(E.Pool.openConnections() == 0);
+  }
+}
