Require an id in an answer that follows a skipped one

On a new connection an answer without an id is accepted, because no earlier request can have caused it. After an answer to another request was skipped, that does not hold: a refusal without an id may belong to the other request as well. It counted as proof that the present request was not executed.

The new test failed before the fix: the attempt ended as refused instead of "connection lost".

--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -199,7 +199,7 @@
         std::string_view(Echo.data(), Echo.size()) != RequestId;
     if (!Mismatched || !Options.Dialect->SkipMismatchedAnswers ||
         Skipped == MaxSkippedAnswers)
-      co_return checkHead(RequestId);
+      co_return checkHead(RequestId, Skipped > 0);
     const bool Complete = co_await skipMismatchedAnswer(Control);
     if (!Complete)
       co_return End::ConnectionLost;
@@ -326,15 +326,16 @@
   co_return std::nullopt;
 }
 
-std::optional<AttemptEnd>
-WorkerExchange::checkHead(std::string_view RequestId) {
+std::optional<AttemptEnd> WorkerExchange::checkHead(std::string_view RequestId,
+                                                    bool AfterSkipped) {
   const auto &Head = Answer->get().base();
   // An answer with the id of another request belongs to that request. On a
-  // reused connection, an answer without an id may be a late answer to an
-  // earlier request.
+  // reused connection, or after an answer to another request, one without an id
+  // may belong to an earlier request as well.
   const auto Echo = Head[Options.Dialect->RequestIdField];
   const std::string_view EchoText(Echo.data(), Echo.size());
-  if (EchoText.empty() ? Lease->connection().Reused : EchoText != RequestId)
+  const bool IdRequired = Lease->connection().Reused || AfterSkipped;
+  if (EchoText.empty() ? IdRequired : EchoText != RequestId)
     return End::ConnectionLost;
   if (isJoined(Head))
     return End::ConnectionLost;
--- a/src/masticgap/transport/worker_exchange.hpp
+++ b/src/masticgap/transport/worker_exchange.hpp
@@ -121,7 +121,7 @@
   boost::asio::awaitable<std::optional<End>> readHead(bool HeadMethod,
                                                       AttemptControl &Control);
   boost::asio::awaitable<void> skipBody(AttemptControl &Control);
-  std::optional<End> checkHead(std::string_view RequestId);
+  std::optional<End> checkHead(std::string_view RequestId, bool AfterSkipped);
   End classify(boost::system::error_code Error, End DefaultEnd,
                const AttemptControl &Control) const;
   void limitTime();
--- a/tests/transport/worker_exchange.tests.cpp
+++ b/tests/transport/worker_exchange.tests.cpp
@@ -341,3 +341,16 @@
     CHECK(E.Pool.openConnections() == 0);
   }
 }
+
+// Covers a refusal without an id that follows an answer to another request.
+TEST_CASE("a refusal without an id proves nothing after a skipped answer") {
+  ScriptedWorker Worker([](std::size_t, const SeenRequest &) {
+    return refusalHead("other", "full") + NoBody + refusalHead("", "full") +
+           NoBody;
+  });
+  WorkerDialect Skipping = nativeWorkerDialect();
+  Skipping.SkipMismatchedAnswers = true;
+  Exchanges E;
+  E.Dialect = &Skipping;
+  CHECK((E.run(Worker.endpoint(), false) == AttemptEnd::ConnectionLost));
+}
