End answers without end by their size or at the deadline

A worker that sent bytes without end kept a request, its connection and the processor busy beyond the deadline: endless interim answers, an endless body of an answer to another request, and an endless body without length or in chunks. Callers got no answer at their deadline, or a stream without end.

The timer of the connection does not end such an exchange: a read of bytes that have already arrived completes before the timer. The deadline is now checked before each read. Interim answers are limited to 8, and skipped answers to 1 MiB in total.

The new test runs 14 answers without end against a worker at a socket.

--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -33,6 +33,10 @@
 //! Maximum number of answers to other requests that one exchange skips.
 constexpr int MaxSkippedAnswers = 3;
 constexpr std::size_t SkipBufferBytes = 64 * 1024;
+//! Maximum size of the answers to other requests that one exchange skips.
+constexpr std::uint64_t MaxSkippedBytes = 1024 * 1024;
+//! Maximum number of interim answers (100 to 199) before a final one.
+constexpr int MaxInterimAnswers = 8;
 //! A connection that has carried more refusals is not reused, which bounds the
 //! memory for their ids.
 constexpr std::size_t MaxRefusals = 256;
@@ -113,6 +117,8 @@
   Lease->connection().Stream.expires_after(std::max(Remaining, Duration(0)));
 }
 
+bool WorkerExchange::isOverdue() const { return Clock() >= Options.Deadline; }
+
 AttemptEnd WorkerExchange::classify(beast::error_code Error, End DefaultEnd,
                                     const AttemptControl &Control) const {
   if (Control.isCancelled())
@@ -212,6 +218,8 @@
     co_return false;
   std::vector<char> Discarded(SkipBufferBytes);
   while (!Answer->is_done()) {
+    if (Received > MaxSkippedBytes || isOverdue())
+      co_return false;
     auto &Body = Answer->get().body();
     Body.data = Discarded.data();
     Body.size = Discarded.size();
@@ -309,7 +317,9 @@
 
 asio::awaitable<std::optional<AttemptEnd>>
 WorkerExchange::readHead(bool HeadMethod, AttemptControl &Control) {
-  do {
+  for (int Interim = 0; Interim <= MaxInterimAnswers; ++Interim) {
+    if (isOverdue())
+      co_return classify(beast::error::timeout, End::TimedOut, Control);
     Answer.emplace();
     Answer->header_limit(MaxHeadBytes);
     Answer->body_limit(boost::none);
@@ -321,9 +331,10 @@
     Received += Bytes;
     if (Error)
       co_return classify(Error, End::ConnectionLost, Control);
-    // Interim answers (100 to 199) precede the final one.
-  } while (Answer->get().result_int() / 100 == 1);
-  co_return std::nullopt;
+    if (Answer->get().result_int() / 100 != 1)
+      co_return std::nullopt;
+  }
+  co_return End::ConnectionLost;
 }
 
 std::optional<AttemptEnd> WorkerExchange::checkHead(std::string_view RequestId,
@@ -363,6 +374,12 @@
   auto &Body = Answer->get().body();
   std::size_t BodyBytes = 0;
   while (BodyBytes == 0 && !Answer->is_done()) {
+    // A read of bytes that have already arrived does not time out.
+    if (isOverdue()) {
+      Failure = classify(beast::error::timeout, End::TimedOut, Control);
+      Lease.reset();
+      co_return 0;
+    }
     Body.data = Into.data();
     Body.size = Into.size();
     limitTime();
--- a/src/masticgap/transport/worker_exchange.hpp
+++ b/src/masticgap/transport/worker_exchange.hpp
@@ -125,6 +125,7 @@
   End classify(boost::system::error_code Error, End DefaultEnd,
                const AttemptControl &Control) const;
   void limitTime();
+  bool isOverdue() const;
   void finish();
 
   WorkerConnectionPool &Pool;
--- a/tests/common/scripted_worker.cpp
+++ b/tests/common/scripted_worker.cpp
@@ -19,6 +19,13 @@
 using Tcp = asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+//! Size of one write of an answer without end.
+constexpr std::size_t EndlessWriteBytes = 64 * 1024;
+
+} // namespace
+
 ScriptedWorker::ScriptedWorker(Script AnswerScript)
     : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}),
       Answers(std::move(AnswerScript)), Accepting([this] { accept(); }) {}
@@ -101,6 +108,18 @@
     }
     if (Answer == Silent)
       continue;
+    if (const std::size_t End = Answer.find(Endless);
+        End != std::string::npos) {
+      const std::string Unit =
+          Answer.substr(End + std::string_view(Endless).size());
+      asio::write(*Connection, asio::buffer(Answer, End), Failure);
+      std::string Units;
+      while (Units.size() < EndlessWriteBytes)
+        Units += Unit;
+      while (!Failure)
+        asio::write(*Connection, asio::buffer(Units), Failure);
+      return;
+    }
     const bool CloseAfter = Answer.ends_with(Close);
     if (CloseAfter)
       Answer.resize(Answer.size() - std::string_view(Close).size());
--- a/tests/common/scripted_worker.hpp
+++ b/tests/common/scripted_worker.hpp
@@ -29,7 +29,8 @@
   //! connection is closed after an answer that ends with Close and reset after
   //! one that ends with Reset. Silent sends nothing and keeps it open. Crash
   //! resets it and stops accepting connections. The parts of an answer between
-  //! Split are sent separately.
+  //! Split are sent separately. The bytes after Endless are repeated until the
+  //! connection is closed.
   using Script = std::function<std::string(std::size_t, const SeenRequest &)>;
 
   explicit ScriptedWorker(Script Answers);
@@ -46,6 +47,7 @@
   static constexpr const char *Reset = "\x01reset";
   static constexpr const char *Crash = "\x01crash";
   static constexpr const char *Silent = "\x01silent";
+  static constexpr const char *Endless = "\x01endless";
   static constexpr const char *Split = "\x01split";
 
 private:
--- a/tests/transport/worker_exchange.tests.cpp
+++ b/tests/transport/worker_exchange.tests.cpp
@@ -22,16 +22,22 @@
 
 namespace {
 
+//! Ends an exchange that exceeds each deadline of the tests.
+constexpr std::chrono::seconds RunLimit{70};
+
 //! Runs exchanges sequentially over one pool.
 struct Exchanges {
   asio::io_context Io{1};
   Instant Time = transport::now();
   WorkerConnectionPool Pool{Io, [this] { return Time; }, "127.0.0.1"};
-  std::string Body;
+  static constexpr std::size_t MaxBodyBytes = 1024 * 1024;
+  std::string Body; //!< At most about MaxBodyBytes of it.
   std::size_t MaxConnections = 4;
   std::string RequestId = "mine";
   http::verb Method = http::verb::post;
   const WorkerDialect *Dialect = &nativeWorkerDialect();
+  bool ClockRuns = false;          //!< Else the clock stays at Time.
+  std::uint64_t BytesReceived = 0; //!< By the latest exchange.
 
   WorkerTarget target(const Endpoint &To) const {
     return {WorkerId("w"), Incarnation{1}, To, MaxConnections};
@@ -46,7 +52,7 @@
                      Result = End;
                    });
     Io.restart();
-    Io.run();
+    Io.run_for(RunLimit);
     return Result;
   }
 
@@ -63,20 +69,22 @@
     }
     ExchangeOptions Options;
     Options.Repeatable = Repeatable;
-    Options.Deadline = Time + Timeout;
+    const auto Clock = [this] { return ClockRuns ? transport::now() : Time; };
+    Options.Deadline = Clock() + Timeout;
     Options.ConnectTimeout = std::chrono::seconds(60);
     Options.Dialect = Dialect;
-    WorkerExchange Exchange(
-        Pool, [this] { return Time; }, Options);
+    WorkerExchange Exchange(Pool, Clock, Options);
     AttemptControl Control;
     const auto Early = co_await Exchange.start(std::move(To), Request, Control);
+    BytesReceived = Exchange.bytesReceived();
     if (Early)
       co_return *Early;
     Body.clear();
     std::array<char, 1000> Part{};
     while (!Exchange.isDone()) {
       const std::size_t BytesRead = co_await Exchange.readSome(Part, Control);
-      Body.append(Part.data(), BytesRead);
+      if (Body.size() < MaxBodyBytes)
+        Body.append(Part.data(), BytesRead);
       if (BytesRead == 0 && !Exchange.isDone())
         co_return Exchange.failure();
     }
@@ -242,38 +250,38 @@
   struct Case {
     std::string Name;
     Arrival When;
+    int Copies;
     const char *CopyId;
     const char *Rest; //!< Of the copy, after the field of the refusal.
-    int Copies = 1;
     const char *SecondId = "second";
     http::verb Method = http::verb::post;
     bool Split = false;
   };
   const Case Cases[] = {
-      {"in the same segment", Arrival::WithFirst, "first", NoBody},
-      {"in the same segment, no id", Arrival::WithFirst, "", NoBody},
-      {"while idle", Arrival::Idle, "first", NoBody},
-      {"while idle, no id", Arrival::Idle, "", NoBody},
-      {"while idle, same id", Arrival::Idle, "same", NoBody, 1, "same"},
-      {"begins while idle", Arrival::HalfIdle, "first", ShortBody},
-      {"after the request", Arrival::BeforeAnswer, "first", NoBody},
-      {"after the request, no id", Arrival::BeforeAnswer, "", NoBody},
-      {"after the request, same id", Arrival::BeforeAnswer, "same", NoBody, 1,
+      {"in the same segment", Arrival::WithFirst, 1, "first", NoBody},
+      {"in the same segment, no id", Arrival::WithFirst, 1, "", NoBody},
+      {"while idle", Arrival::Idle, 1, "first", NoBody},
+      {"while idle, no id", Arrival::Idle, 1, "", NoBody},
+      {"while idle, same id", Arrival::Idle, 1, "same", NoBody, "same"},
+      {"begins while idle", Arrival::HalfIdle, 1, "first", ShortBody},
+      {"after the request", Arrival::BeforeAnswer, 1, "first", NoBody},
+      {"after the request, no id", Arrival::BeforeAnswer, 1, "", NoBody},
+      {"after the request, same id", Arrival::BeforeAnswer, 1, "same", NoBody,
        "same"},
-      {"body", Arrival::BeforeAnswer, "first", ShortBody},
-      {"chunked body", Arrival::BeforeAnswer, "first", ChunkedBody},
-      {"chunked body, same id", Arrival::BeforeAnswer, "same", ChunkedBody, 1,
+      {"body", Arrival::BeforeAnswer, 1, "first", ShortBody},
+      {"chunked body", Arrival::BeforeAnswer, 1, "first", ChunkedBody},
+      {"chunked body, same id", Arrival::BeforeAnswer, 1, "same", ChunkedBody,
        "same"},
-      {"split", Arrival::BeforeAnswer, "first", ShortBody, 1, "second",
+      {"split", Arrival::BeforeAnswer, 1, "first", ShortBody, "second",
        http::verb::post, true},
-      {"HEAD", Arrival::BeforeAnswer, "first", NoBody, 1, "second",
+      {"HEAD", Arrival::BeforeAnswer, 1, "first", NoBody, "second",
        http::verb::head},
-      {"HEAD, no id", Arrival::BeforeAnswer, "", NoBody, 1, "second",
+      {"HEAD, no id", Arrival::BeforeAnswer, 1, "", NoBody, "second",
        http::verb::head},
-      {"HEAD and a body", Arrival::BeforeAnswer, "first", ShortBody, 1,
+      {"HEAD and a body", Arrival::BeforeAnswer, 1, "first", ShortBody,
        "second", http::verb::head},
-      {"many", Arrival::BeforeAnswer, "first", ShortBody, 10},
-      {"many, same id", Arrival::BeforeAnswer, "same", NoBody, 10, "same"},
+      {"many", Arrival::BeforeAnswer, 10, "first", ShortBody},
+      {"many, same id", Arrival::BeforeAnswer, 10, "same", NoBody, "same"},
   };
   WorkerDialect Skipping = nativeWorkerDialect();
   Skipping.SkipMismatchedAnswers = true;
@@ -354,3 +362,73 @@
   E.Dialect = &Skipping;
   CHECK((E.run(Worker.endpoint(), false) == AttemptEnd::ConnectionLost));
 }
+
+// Guards against a worker that keeps a request, its connection and memory
+// beyond the deadline by sending bytes without end.
+TEST_CASE("an answer without end is ended by its size or by the deadline") {
+  struct Case {
+    std::string Name;
+    std::string Answer;
+    AttemptEnd End;
+    bool EndedBySize = true;
+  };
+  const std::string Endless = ScriptedWorker::Endless;
+  const std::string Ok = "HTTP/1.1 200 X\r\nMasticgap-Request-Id: ";
+  const std::string Chunked = "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const Case Cases[] = {
+      {"status line", Endless + "x", AttemptEnd::ConnectionLost},
+      {"header value", Ok + Endless + "x", AttemptEnd::ConnectionLost},
+      {"header fields", "HTTP/1.1 200 X\r\n" + Endless + "A: b\r\n",
+       AttemptEnd::ConnectionLost},
+      {"interim answers", Endless + "HTTP/1.1 102 X\r\n\r\n",
+       AttemptEnd::ConnectionLost},
+      {"answers to other requests",
+       Endless + Ok + "other\r\nContent-Length: 1\r\n\r\nx",
+       AttemptEnd::ConnectionLost},
+      {"body of another answer",
+       Ok + "other" + Chunked + Endless + "1\r\nx\r\n",
+       AttemptEnd::ConnectionLost},
+      {"long body of another answer",
+       Ok + "other\r\nContent-Length: 99999999999\r\n\r\n" + Endless + "x",
+       AttemptEnd::ConnectionLost},
+      {"body of another answer, no length",
+       Ok + "other\r\n\r\n" + Endless + "x", AttemptEnd::ConnectionLost},
+      {"body of a refusal",
+       refusalHead("mine", "full") + Chunked.substr(2) + Endless + "1\r\nx\r\n",
+       AttemptEnd::RefusedFull},
+      {"body of a refusal, no length",
+       refusalHead("mine", "full") + "\r\n" + Endless + "x",
+       AttemptEnd::RefusedFull},
+      {"chunk extension", Ok + "mine" + Chunked + "1;a=" + Endless + "x",
+       AttemptEnd::Truncated},
+      {"trailer", Ok + "mine" + Chunked + "0\r\n" + Endless + "A: b\r\n",
+       AttemptEnd::Truncated},
+      {"chunks", Ok + "mine" + Chunked + Endless + "1\r\nx\r\n",
+       AttemptEnd::TimedOut, false},
+      {"body, no length", Ok + "mine\r\n\r\n" + Endless + "x",
+       AttemptEnd::TimedOut, false},
+  };
+  const std::chrono::milliseconds BySize = std::chrono::seconds(60);
+  const std::chrono::milliseconds ByTime(300);
+  // The machine may be busy.
+  const std::chrono::seconds Late(5);
+  constexpr std::uint64_t MaxBytes = 2 * 1024 * 1024;
+  WorkerDialect Skipping = nativeWorkerDialect();
+  Skipping.SkipMismatchedAnswers = true;
+  Skipping.AllowUnframedAnswers = true;
+  for (const auto &C : Cases) {
+    CAPTURE(C.Name);
+    ScriptedWorker Worker(
+        [&](std::size_t, const SeenRequest &) { return C.Answer; });
+    Exchanges E;
+    E.ClockRuns = true;
+    E.Dialect = &Skipping;
+    const Instant Before = transport::now();
+    const auto Timeout = C.EndedBySize ? BySize : ByTime;
+    CHECK((E.run(Worker.endpoint(), false, Timeout) == C.End));
+    CHECK(transport::now() - Before < Timeout + Late);
+    CHECK(E.Pool.openConnections() == 0);
+    if (C.EndedBySize)
+      CHECK(E.BytesReceived < MaxBytes);
+  }
+}
