--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -33,6 +33,13 @@
 //! Maximum number of answers to other requests that one exchange skips.
 constexpr int MaxSkippedAnswers = 3;
 constexpr std::size_t SkipBufferBytes = 64 * 1024;
+//! Maximum size of the answers to other requests that one exchange skips.
+constexpr std::uint64_t MaxSkippedBytes = 1024 * 1024;
+//! Maximum number of interim answers (100 to 199) before a final one.
+constexpr int MaxInterimAnswers = 8;
+//! A connection that has carried more refusals is not reused, which bounds the
+//! memory for their ids.
+constexpr std::size_t MaxRefusals = 256;
 //! An idle connection is closed this long before the worker would close it.
 constexpr std::chrono::seconds IdleMargin{1};
 
@@ -60,6 +67,33 @@
   return std::chrono::seconds(Seconds);
 }
 
+//! Returns whether the text contains a status line ("HTTP/1.1 200").
+bool containsStatusLine(std::string_view Text) {
+  constexpr std::string_view Protocol = "HTTP/1.";
+  constexpr std::size_t Length = Protocol.size() + std::size("1 200") - 1;
+  const auto IsDigit = [](char C) { return C >= '0' && C <= '9'; };
+  for (std::size_t At = Text.find(Protocol); At != std::string_view::npos;
+       At = Text.find(Protocol, At + 1)) {
+    if (At + Length > Text.size())
+      return false;
+    const auto Rest = Text.substr(At + Protocol.size(), Length);
+    if (IsDigit(Rest[0]) && Rest[1] == ' ' && IsDigit(Rest[2]))
+      return true;
+  }
+  return false;
+}
+
+//! Returns whether the head contains a second status line. Such a head is the
+//! beginning of one answer joined with another answer.
+bool isJoined(const http::response_header<> &Head) {
+  const auto Contains = [](boost::beast::string_view Text) {
+    return containsStatusLine({Text.data(), Text.size()});
+  };
+  return Contains(Head.reason()) ||
+         std::ranges::any_of(
+             Head, [&](const auto &Field) { return Contains(Field.value()); });
+}
+
 } // namespace
 
 WorkerExchange::WorkerExchange(WorkerConnectionPool &Pool,
@@ -83,6 +117,8 @@
   Lease->connection().Stream.expires_after(std::max(Remaining, Duration(0)));
 }
 
+bool WorkerExchange::isOverdue() const { return Clock() >= Options.Deadline; }
+
 AttemptEnd WorkerExchange::classify(beast::error_code Error, End DefaultEnd,
                                     const AttemptControl &Control) const {
   if (Control.isCancelled())
@@ -169,7 +205,7 @@
         std::string_view(Echo.data(), Echo.size()) != RequestId;
     if (!Mismatched || !Options.Dialect->SkipMismatchedAnswers ||
         Skipped == MaxSkippedAnswers)
-      co_return checkHead(RequestId);
+      co_return checkHead(RequestId, Skipped > 0);
     const bool Complete = co_await skipMismatchedAnswer(Control);
     if (!Complete)
       co_return End::ConnectionLost;
@@ -182,6 +218,8 @@
     co_return false;
   std::vector<char> Discarded(SkipBufferBytes);
   while (!Answer->is_done()) {
+    if (Received > MaxSkippedBytes || isOverdue())
+      co_return false;
     auto &Body = Answer->get().body();
     Body.data = Discarded.data();
     Body.size = Discarded.size();
@@ -279,7 +317,9 @@
 
 asio::awaitable<std::optional<AttemptEnd>>
 WorkerExchange::readHead(bool HeadMethod, AttemptControl &Control) {
-  do {
+  for (int Interim = 0; Interim <= MaxInterimAnswers; ++Interim) {
+    if (isOverdue())
+      co_return classify(beast::error::timeout, End::TimedOut, Control);
     Answer.emplace();
     Answer->header_limit(MaxHeadBytes);
     Answer->body_limit(boost::none);
@@ -291,23 +331,35 @@
     Received += Bytes;
     if (Error)
       co_return classify(Error, End::ConnectionLost, Control);
-    // Interim answers (100 to 199) precede the final one.
-  } while (Answer->get().result_int() / 100 == 1);
-  co_return std::nullopt;
+    if (Answer->get().result_int() / 100 != 1)
+      co_return std::nullopt;
+  }
+  co_return End::ConnectionLost;
 }
 
-std::optional<AttemptEnd>
-WorkerExchange::checkHead(std::string_view RequestId) const {
+std::optional<AttemptEnd> WorkerExchange::checkHead(std::string_view RequestId,
+                                                    bool AfterSkipped) {
   const auto &Head = Answer->get().base();
   // An answer with the id of another request belongs to that request. On a
-  // reused connection, an answer without an id may be a late answer to an
-  // earlier request.
+  // reused connection, or after an answer to another request, one without an id
+  // may belong to an earlier request as well.
   const auto Echo = Head[Options.Dialect->RequestIdField];
   const std::string_view EchoText(Echo.data(), Echo.size());
-  if (EchoText.empty() ? Lease->connection().Reused : EchoText != RequestId)
+  const bool IdRequired = Lease->connection().Reused || AfterSkipped;
+  if (EchoText.empty() ? IdRequired : EchoText != RequestId)
+    return End::ConnectionLost;
+  if (isJoined(Head))
     return End::ConnectionLost;
-  if (const auto Refusal = Options.Dialect->Refusal(Head))
+  if (const auto Refusal = Options.Dialect->Refusal(Head)) {
+    // A second refusal of the same id may be a copy of the first, sent before
+    // the worker read this request.
+    auto &Refused = Lease->connection().RefusedIds;
+    const std::size_t Hash = std::hash<std::string_view>()(RequestId);
+    if (std::ranges::find(Refused, Hash) != Refused.end())
+      return End::ConnectionLost;
+    Refused.push_back(Hash);
     return Refusal;
+  }
   if (Options.Dialect->AllowUnframedAnswers)
     return std::nullopt;
   // An answer without a length ends with its connection and cannot be
@@ -322,6 +374,12 @@
   auto &Body = Answer->get().body();
   std::size_t BodyBytes = 0;
   while (BodyBytes == 0 && !Answer->is_done()) {
+    // A read of bytes that have already arrived does not time out.
+    if (isOverdue()) {
+      Failure = classify(beast::error::timeout, End::TimedOut, Control);
+      Lease.reset();
+      co_return 0;
+    }
     Body.data = Into.data();
     Body.size = Into.size();
     limitTime();
@@ -353,7 +411,8 @@
   const bool EchoesRequestId = !head()[Options.Dialect->RequestIdField].empty();
   const bool Reusable = EchoesRequestId && Answer->get().keep_alive() &&
                         !SendPending && !Answer->need_eof() &&
-                        Lease->connection().Buffer.size() == 0;
+                        Lease->connection().Buffer.size() == 0 &&
+                        Lease->connection().RefusedIds.size() < MaxRefusals;
   if (const auto IdleLimit = statedIdleLimit(head()))
     Lease->connection().Health.limitIdle(*IdleLimit - IdleMargin);
   if (Reusable)
--- a/src/masticgap/transport/worker_exchange.hpp
+++ b/src/masticgap/transport/worker_exchange.hpp
@@ -121,10 +121,11 @@
   boost::asio::awaitable<std::optional<End>> readHead(bool HeadMethod,
                                                       AttemptControl &Control);
   boost::asio::awaitable<void> skipBody(AttemptControl &Control);
-  std::optional<End> checkHead(std::string_view RequestId) const;
+  std::optional<End> checkHead(std::string_view RequestId, bool AfterSkipped);
   End classify(boost::system::error_code Error, End DefaultEnd,
                const AttemptControl &Control) const;
   void limitTime();
+  bool isOverdue() const;
   void finish();
 
   WorkerConnectionPool &Pool;
--- a/tests/common/scripted_worker.cpp
+++ b/tests/common/scripted_worker.cpp
@@ -19,6 +19,13 @@
 using Tcp = asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+//! Size of one write of an answer without end.
+constexpr std::size_t EndlessWriteBytes = 64 * 1024;
+
+} // namespace
+
 ScriptedWorker::ScriptedWorker(Script AnswerScript)
     : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}),
       Answers(std::move(AnswerScript)), Accepting([this] { accept(); }) {}
@@ -45,6 +52,13 @@
   return Requests;
 }
 
+void ScriptedWorker::sendUnasked(std::string_view Bytes) {
+  const std::lock_guard<std::mutex> Guard(Lock);
+  if (!Connections.empty())
+    ::send(Connections.back()->native_handle(), Bytes.data(), Bytes.size(),
+           MSG_NOSIGNAL);
+}
+
 void ScriptedWorker::accept() {
   while (true) {
     auto Connection = std::make_shared<Socket>(Io);
@@ -53,6 +67,7 @@
     const std::lock_guard<std::mutex> Guard(Lock);
     if (Failure || Stopped)
       return;
+    Connection->set_option(Tcp::no_delay(true), Failure);
     Connections.push_back(Connection);
     Threads.emplace_back([this, Connection] { serve(Connection); });
   }
@@ -93,9 +108,27 @@
     }
     if (Answer == Silent)
       continue;
+    if (const std::size_t End = Answer.find(Endless);
+        End != std::string::npos) {
+      const std::string Unit =
+          Answer.substr(End + std::string_view(Endless).size());
+      asio::write(*Connection, asio::buffer(Answer, End), Failure);
+      std::string Units;
+      while (Units.size() < EndlessWriteBytes)
+        Units += Unit;
+      while (!Failure)
+        asio::write(*Connection, asio::buffer(Units), Failure);
+      return;
+    }
     const bool CloseAfter = Answer.ends_with(Close);
     if (CloseAfter)
       Answer.resize(Answer.size() - std::string_view(Close).size());
+    const std::string_view Separator = Split;
+    std::size_t At = 0;
+    while ((At = Answer.find(Separator)) != std::string::npos) {
+      asio::write(*Connection, asio::buffer(Answer, At), Failure);
+      Answer.erase(0, At + Separator.size());
+    }
     asio::write(*Connection, asio::buffer(Answer), Failure);
     if (Failure)
       return;
--- a/tests/transport/worker_exchange.tests.cpp
+++ b/tests/transport/worker_exchange.tests.cpp
@@ -1,6 +1,7 @@
 #include "masticgap/transport/worker_exchange.hpp"
 
 #include "common/fake_worker.hpp"
+#include "common/scripted_worker.hpp"
 #include "masticgap/transport/boot_clock.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,19 +20,30 @@
 using coordination::AttemptEnd;
 using tests::FakeWorker;
 using tests::Reaction;
+using tests::ScriptedWorker;
+using tests::SeenRequest;
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
 namespace {
 
+//! Ends an exchange that exceeds each deadline of the tests.
+constexpr std::chrono::seconds RunLimit{70};
+
 //! Runs exchanges sequentially over one pool.
 struct Exchanges {
   asio::io_context Io{1};
   Instant Time = transport::now();
   WorkerConnectionPool Pool{Io, [this] { return Time; }, "127.0.0.1"};
-  std::string Body;
+  static constexpr std::size_t MaxBodyBytes = 1024 * 1024;
+  std::string Body; //!< At most about MaxBodyBytes of it.
   std::string RequestBody = "ab";
   std::size_t MaxConnections = 4;
+  std::string RequestId = "mine";
+  http::verb Method = http::verb::post;
+  const WorkerDialect *Dialect = &nativeWorkerDialect();
+  bool ClockRuns = false;          //!< Else the clock stays at Time.
+  std::uint64_t BytesReceived = 0; //!< By the latest exchange.
 
   WorkerTarget target(const Endpoint &To) const {
     return {WorkerId("w"), Incarnation{1}, To, MaxConnections};
@@ -46,35 +58,40 @@
                      Result = End;
                    });
     Io.restart();
-    Io.run();
+    Io.run_for(RunLimit);
     return Result;
   }
 
   asio::awaitable<AttemptEnd> exchange(WorkerTarget To, bool Repeatable,
                                        std::chrono::milliseconds Timeout) {
     OutgoingRequest Request;
-    Request.Head.method(http::verb::post);
+    Request.Head.method(Method);
     Request.Head.target("/x");
     Request.Head.version(11);
-    Request.Head.set("Masticgap-Request-Id", "mine");
-    Request.Head.set(http::field::content_length,
-                     std::to_string(RequestBody.size()));
-    Request.Body = RequestBody;
+    Request.Head.set("Masticgap-Request-Id", RequestId);
+    if (Method == http::verb::post) {
+      Request.Head.set(http::field::content_length,
+                       std::to_string(RequestBody.size()));
+      Request.Body = RequestBody;
+    }
     ExchangeOptions Options;
     Options.Repeatable = Repeatable;
-    Options.Deadline = Time + Timeout;
+    const auto Clock = [this] { return ClockRuns ? transport::now() : Time; };
+    Options.Deadline = Clock() + Timeout;
     Options.ConnectTimeout = std::chrono::seconds(60);
-    WorkerExchange Exchange(
-        Pool, [this] { return Time; }, Options);
+    Options.Dialect = Dialect;
+    WorkerExchange Exchange(Pool, Clock, Options);
     AttemptControl Control;
     const auto Early = co_await Exchange.start(std::move(To), Request, Control);
+    BytesReceived = Exchange.bytesReceived();
     if (Early)
       co_return *Early;
     Body.clear();
     std::array<char, 1000> Part{};
     while (!Exchange.isDone()) {
       const std::size_t BytesRead = co_await Exchange.readSome(Part, Control);
-      Body.append(Part.data(), BytesRead);
+      if (Body.size() < MaxBodyBytes)
+        Body.append(Part.data(), BytesRead);
       if (BytesRead == 0 && !Exchange.isDone())
         co_return Exchange.failure();
     }
@@ -98,6 +115,20 @@
     Connection.read_some(asio::buffer(Part), Failure);
 }
 
+//! Returns the head of a refusal up to its last header field.
+std::string refusalHead(std::string_view Id, std::string_view Kind) {
+  std::string Head = "HTTP/1.1 503 X\r\n";
+  if (!Id.empty())
+    Head.append("Masticgap-Request-Id: ").append(Id).append("\r\n");
+  return Head.append("Worker-Refused: ").append(Kind).append("\r\n");
+}
+
+//! Rest of an answer, after its last header field but one.
+constexpr const char *NoBody = "Content-Length: 0\r\n\r\n";
+constexpr const char *ShortBody = "Content-Length: 5\r\n\r\nsorry";
+constexpr const char *ChunkedBody =
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nsorry\r\n0\r\n\r\n";
+
 } // namespace
 
 // Guards against wrong classifications: a request that is wrongly taken as not
@@ -260,3 +291,193 @@
   CHECK((*Result == AttemptEnd::RefusedFull));
   CHECK(E.Pool.openConnections() == 0);
 }
+
+// Guards against a request that is reported as not run, or that is sent to a
+// second worker, although the worker executed it.
+TEST_CASE("a repeated refusal of an earlier request refuses no later one") {
+  enum class Arrival { WithFirst, Idle, HalfIdle, BeforeAnswer };
+  struct Case {
+    std::string Name;
+    Arrival When;
+    int Copies;
+    const char *CopyId;
+    const char *Rest; //!< Of the copy, after the field of the refusal.
+    const char *SecondId = "second";
+    http::verb Method = http::verb::post;
+    bool Split = false;
+  };
+  const Case Cases[] = {
+      {"in the same segment", Arrival::WithFirst, 1, "first", NoBody},
+      {"in the same segment, no id", Arrival::WithFirst, 1, "", NoBody},
+      {"while idle", Arrival::Idle, 1, "first", NoBody},
+      {"while idle, no id", Arrival::Idle, 1, "", NoBody},
+      {"while idle, same id", Arrival::Idle, 1, "same", NoBody, "same"},
+      {"begins while idle", Arrival::HalfIdle, 1, "first", ShortBody},
+      {"after the request", Arrival::BeforeAnswer, 1, "first", NoBody},
+      {"after the request, no id", Arrival::BeforeAnswer, 1, "", NoBody},
+      {"after the request, same id", Arrival::BeforeAnswer, 1, "same", NoBody,
+       "same"},
+      {"body", Arrival::BeforeAnswer, 1, "first", ShortBody},
+      {"chunked body", Arrival::BeforeAnswer, 1, "first", ChunkedBody},
+      {"chunked body, same id", Arrival::BeforeAnswer, 1, "same", ChunkedBody,
+       "same"},
+      {"split", Arrival::BeforeAnswer, 1, "first", ShortBody, "second",
+       http::verb::post, true},
+      {"HEAD", Arrival::BeforeAnswer, 1, "first", NoBody, "second",
+       http::verb::head},
+      {"HEAD, no id", Arrival::BeforeAnswer, 1, "", NoBody, "second",
+       http::verb::head},
+      {"HEAD and a body", Arrival::BeforeAnswer, 1, "first", ShortBody,
+       "second", http::verb::head},
+      {"many", Arrival::BeforeAnswer, 10, "first", ShortBody},
+      {"many, same id", Arrival::BeforeAnswer, 10, "same", NoBody, "same"},
+  };
+  WorkerDialect Skipping = nativeWorkerDialect();
+  Skipping.SkipMismatchedAnswers = true;
+  Skipping.AllowUnframedAnswers = true;
+  for (const auto &C : Cases) {
+    for (const bool Skips : {false, true}) {
+      for (const char *Kind : {"full", "leaving"}) {
+        CAPTURE(C.Name);
+        CAPTURE(Skips);
+        CAPTURE(Kind);
+        const bool SameId = std::string_view(C.SecondId) == "same";
+        const char *FirstId = SameId ? C.SecondId : "first";
+        const std::string First = refusalHead(FirstId, Kind) + NoBody;
+        std::string Copies;
+        for (int I = 0; I < C.Copies; ++I)
+          Copies.append(refusalHead(C.CopyId, Kind))
+              .append(C.Split ? ScriptedWorker::Split : "")
+              .append(C.Rest);
+        const std::string Executed =
+            std::string("HTTP/1.1 200 X\r\nMasticgap-Request-Id: ") +
+            C.SecondId + "\r\nContent-Length: 5\r\n\r\n" +
+            (C.Method == http::verb::head ? "" : "whole");
+        ScriptedWorker Worker([&](std::size_t Number, const SeenRequest &) {
+          if (Number == 0)
+            return C.When == Arrival::WithFirst ? First + Copies : First;
+          return C.When == Arrival::BeforeAnswer ? Copies + Executed : Executed;
+        });
+        Exchanges E;
+        E.Dialect = Skips ? &Skipping : &nativeWorkerDialect();
+        E.Method = C.Method;
+        E.RequestId = FirstId;
+        REQUIRE(coordination::provedNotRun(E.run(Worker.endpoint(), false)));
+        if (C.When == Arrival::Idle)
+          Worker.sendUnasked(Copies);
+        if (C.When == Arrival::HalfIdle)
+          Worker.sendUnasked(Copies.substr(0, Copies.size() / 2));
+        E.RequestId = C.SecondId;
+        const AttemptEnd Second = E.run(Worker.endpoint(), false);
+        CHECK_FALSE(coordination::provedNotRun(Second));
+        CHECK(Worker.seen().size() == 2);
+        if (C.When != Arrival::BeforeAnswer)
+          CHECK((Second == AttemptEnd::Answered));
+      }
+    }
+  }
+}
+
+// Guards against an answer of a worker that executed the request being read as
+// a part of a refusal that was cut off before it.
+TEST_CASE("a refusal that is joined with a later answer is not accepted") {
+  const char *const CutRefusals[] = {
+      "HTTP/1.1 503 X\r\nWorker-Refused: full\r\nX-Note: cut",
+      "HTTP/1.1 503 X\r\nWorker-Refused: leaving\r\nX-Note:",
+  };
+  for (const char *Cut : CutRefusals) {
+    CAPTURE(Cut);
+    ScriptedWorker Worker([&](std::size_t Number, const SeenRequest &) {
+      const std::string Answer = "HTTP/1.1 200 X\r\nMasticgap-Request-Id: mine"
+                                 "\r\nContent-Length: 5\r\n\r\nwhole";
+      return Number == 0 ? Answer : Cut + Answer;
+    });
+    Exchanges E;
+    REQUIRE((E.run(Worker.endpoint(), false) == AttemptEnd::Answered));
+    CHECK((E.run(Worker.endpoint(), false) == AttemptEnd::ConnectionLost));
+    CHECK(E.Pool.openConnections() == 0);
+  }
+}
+
+// Covers a refusal without an id that follows an answer to another request.
+TEST_CASE("a refusal without an id proves nothing after a skipped answer") {
+  ScriptedWorker Worker([](std::size_t, const SeenRequest &) {
+    return refusalHead("other", "full") + NoBody + refusalHead("", "full") +
+           NoBody;
+  });
+  WorkerDialect Skipping = nativeWorkerDialect();
+  Skipping.SkipMismatchedAnswers = true;
+  Exchanges E;
+  E.Dialect = &Skipping;
+  CHECK((E.run(Worker.endpoint(), false) == AttemptEnd::ConnectionLost));
+}
+
+// Guards against a worker that keeps a request, its connection and memory
+// beyond the deadline by sending bytes without end.
+TEST_CASE("an answer without end is ended by its size or by the deadline") {
+  struct Case {
+    std::string Name;
+    std::string Answer;
+    AttemptEnd End;
+    bool EndedBySize = true;
+  };
+  const std::string Endless = ScriptedWorker::Endless;
+  const std::string Ok = "HTTP/1.1 200 X\r\nMasticgap-Request-Id: ";
+  const std::string Chunked = "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const Case Cases[] = {
+      {"status line", Endless + "x", AttemptEnd::ConnectionLost},
+      {"header value", Ok + Endless + "x", AttemptEnd::ConnectionLost},
+      {"header fields", "HTTP/1.1 200 X\r\n" + Endless + "A: b\r\n",
+       AttemptEnd::ConnectionLost},
+      {"interim answers", Endless + "HTTP/1.1 102 X\r\n\r\n",
+       AttemptEnd::ConnectionLost},
+      {"answers to other requests",
+       Endless + Ok + "other\r\nContent-Length: 1\r\n\r\nx",
+       AttemptEnd::ConnectionLost},
+      {"body of another answer",
+       Ok + "other" + Chunked + Endless + "1\r\nx\r\n",
+       AttemptEnd::ConnectionLost},
+      {"long body of another answer",
+       Ok + "other\r\nContent-Length: 99999999999\r\n\r\n" + Endless + "x",
+       AttemptEnd::ConnectionLost},
+      {"body of another answer, no length",
+       Ok + "other\r\n\r\n" + Endless + "x", AttemptEnd::ConnectionLost},
+      {"body of a refusal",
+       refusalHead("mine", "full") + Chunked.substr(2) + Endless + "1\r\nx\r\n",
+       AttemptEnd::RefusedFull},
+      {"body of a refusal, no length",
+       refusalHead("mine", "full") + "\r\n" + Endless + "x",
+       AttemptEnd::RefusedFull},
+      {"chunk extension", Ok + "mine" + Chunked + "1;a=" + Endless + "x",
+       AttemptEnd::Truncated},
+      {"trailer", Ok + "mine" + Chunked + "0\r\n" + Endless + "A: b\r\n",
+       AttemptEnd::Truncated},
+      {"chunks", Ok + "mine" + Chunked + Endless + "1\r\nx\r\n",
+       AttemptEnd::TimedOut, false},
+      {"body, no length", Ok + "mine\r\n\r\n" + Endless + "x",
+       AttemptEnd::TimedOut, false},
+  };
+  const std::chrono::milliseconds BySize = std::chrono::seconds(60);
+  const std::chrono::milliseconds ByTime(300);
+  // The machine may be busy.
+  const std::chrono::seconds Late(5);
+  constexpr std::uint64_t MaxBytes = 2 * 1024 * 1024;
+  WorkerDialect Skipping = nativeWorkerDialect();
+  Skipping.SkipMismatchedAnswers = true;
+  Skipping.AllowUnframedAnswers = true;
+  for (const auto &C : Cases) {
+    CAPTURE(C.Name);
+    ScriptedWorker Worker(
+        [&](std::size_t, const SeenRequest &) { return C.Answer; });
+    Exchanges E;
+    E.ClockRuns = true;
+    E.Dialect = &Skipping;
+    const Instant Before = transport::now();
+    const auto Timeout = C.EndedBySize ? BySize : ByTime;
+    CHECK((E.run(Worker.endpoint(), false, Timeout) == C.End));
+    CHECK(transport::now() - Before < Timeout + Late);
+    CHECK(E.Pool.openConnections() == 0);
+    if (C.EndedBySize)
+      CHECK(E.BytesReceived < MaxBytes);
+  }
+}
