Test a gateway with odd rows among those of the workers

Another writer's row that is nested deeply, holds a number too large or a port out of range must not end a gateway or keep it from following the store. The new test puts 32 kinds of such rows, of up to 64 KiB and with keys of any characters, among good workers: before the start, while running, in place of a known worker's row, after the feed has ended with 410, and at a second gateway that learns changes by its peer. After each, the gateway has to learn a later change and to serve requests.

The stand-in's forgetHistory() now also answers pending feeds with 410, so that the test does not wait for the feed's timeout.

--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -83,7 +83,14 @@
 
 void StoreServer::setMode(StoreMode New) { Mode = New; }
 
-void StoreServer::forgetHistory() { Oldest = ++Version; }
+void StoreServer::forgetHistory() {
+  Oldest = ++Version;
+  for (const auto &Feed : std::exchange(PendingFeeds, {})) {
+    Feed->Timer.cancel();
+    Feed->Reply(
+        transport::jsonResponse(Feed->Request, http::status::gone, "{}"));
+  }
+}
 
 void StoreServer::handle(const HttpRequest &Request,
                          const HttpServer::Reply &Reply) {
--- a/standins/store/store_server.hpp
+++ b/standins/store/store_server.hpp
@@ -42,7 +42,8 @@
            const std::string &Value);
   void remove(const std::string &Table, const std::string &Key);
   void setMode(StoreMode New);
-  //! Forgets all changes; feeds that request changes from before now get 410.
+  //! Forgets all changes; pending feeds, and feeds that request changes from
+  //! before now, get 410.
   void forgetHistory();
   std::uint64_t calls() const { return Calls; }
 
--- a/tests/gateway/gateway_daemon.tests.cpp
+++ b/tests/gateway/gateway_daemon.tests.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 using namespace masticgap;
 using namespace masticgap::tests;
@@ -37,8 +38,171 @@
   return false;
 }
 
+struct OddRow {
+  std::string Key;
+  std::string Value;
+};
+
+//! Returns rows of another writer that register no worker.
+std::vector<OddRow> oddRows() {
+  // Largest value that the store accepts.
+  constexpr std::size_t MaxRowBytes = 64 * 1024;
+  const std::string Good =
+      R"({"service":"svc","address":"127.0.0.1:9","zone":"d","version":"v1",)"
+      R"("slots":3,"state":"ready","cold_remaining":"0ms","born":1000})";
+  const auto Changed = [&](std::string_view From, std::string_view To) {
+    std::string Row = Good;
+    const std::size_t At = Row.find(From);
+    REQUIRE(At != std::string::npos);
+    return Row.replace(At, From.size(), To);
+  };
+  const std::string Brackets(MaxRowBytes / 4, '[');
+  std::string AllBytes;
+  for (int Byte = 0; Byte < 256; ++Byte)
+    AllBytes.push_back(static_cast<char>(Byte));
+  return {
+      {"nested-open", std::string(MaxRowBytes, '[')},
+      {"nested-objects",
+       [] {
+         std::string Text;
+         while (Text.size() + 5 <= MaxRowBytes)
+           Text += R"({"a":)";
+         return Text;
+       }()},
+      {"nested-field",
+       Changed(R"("v1")", Brackets + std::string(Brackets.size(), ']'))},
+      {"slots-1e300", Changed(R"("slots":3)", R"("slots":1e300)")},
+      {"slots-1e999999999", Changed(R"("slots":3)", R"("slots":1e999999999)")},
+      {"slots-long",
+       Changed(R"("slots":3)", R"("slots":)" + std::string(60000, '9'))},
+      {"slots-negative", Changed(R"("slots":3)", R"("slots":-1)")},
+      {"born-2^64", Changed("1000", "18446744073709551616")},
+      {"cold-1e300", Changed(R"("0ms")", R"("1e300s")")},
+      {"cold-inf", Changed(R"("0ms")", R"("infs")")},
+      {"cold-nan", Changed(R"("0ms")", R"("nans")")},
+      {"port-0", Changed(":9\"", ":0\"")},
+      {"port-65536", Changed(":9\"", ":65536\"")},
+      {"port-negative", Changed(":9\"", ":-1\"")},
+      {"port-long", Changed(":9\"", ":" + std::string(60000, '9') + "\"")},
+      {"host-name", Changed("127.0.0.1", "worker.example")},
+      {"no-json", "hello"},
+      {"cut", Good.substr(0, Good.size() / 2)},
+      {"nan", Changed(R"("slots":3)", R"("slots":NaN)")},
+      {"binary", AllBytes},
+      {"surrogate", Changed(R"("v1")", R"("\ud800")")},
+      {"empty", ""},
+      {"list", "[]"},
+      {"null", "null"},
+      {"large",
+       Changed(R"("ready")", '"' + std::string(MaxRowBytes - 200, 'x') + '"')},
+      {"", Good},
+      {"with space", Good},
+      {"line\r\nX: y", Good},
+      {"del\x7f", Good},
+      {std::string("nul\0byte", 8), Good},
+      {"\xc3\xa4", Good},
+      {std::string(200, ' '), Good},
+  };
+}
+
 } // namespace
 
+// Guards against a gateway that ends, or no longer follows the store, because
+// another writer left one odd row among those of the workers.
+TEST_CASE("odd rows among those of the workers affect no other row") {
+  const auto Answers = [](std::size_t, const SeenRequest &) {
+    return workerAnswer(200, "id-1", "whole");
+  };
+  ScriptedWorker Worker(Answers);
+  const auto HasNewRoute = [](GatewayFixture &Gateway, const char *Name) {
+    return eventually([&] {
+      const auto Answer = Gateway.send("/" + std::string(Name) + "/x");
+      return Answer && Answer->result_int() == 200;
+    });
+  };
+  const auto Knows = [](GatewayFixture &Gateway, unsigned Workers) {
+    return eventually([&] { return Gateway.knownWorkers() == Workers; });
+  };
+  const auto Route = [](const std::string &Name) {
+    return ",[\"" + Name + "\",\"a.example\",\"/" + Name +
+           R"(/","safe","1000ms","400ms",1,"svc",2,true,[],null])";
+  };
+  const std::vector<OddRow> OddRows = oddRows();
+  GatewayFixture A;
+  const auto PutOddRows = [&] {
+    for (const OddRow &Row : OddRows)
+      A.putWorkerRow(Row.Key, Row.Value);
+  };
+
+  // Before the start, in one answer with a good worker.
+  PutOddRows();
+  A.putWorker("w1", Worker.endpoint());
+  A.putConfig(1);
+  A.start();
+  A.awaitReady();
+  CHECK(A.knownWorkers() == 1);
+  CHECK(A.send("/safe/x")->result_int() == 200);
+
+  // While running, each followed by a change that the gateway has to learn.
+  bool Added = false;
+  for (const OddRow &Row : OddRows) {
+    CAPTURE(Row.Key);
+    A.putWorkerRow(Row.Key, Row.Value);
+    if (Added)
+      A.removeWorker("w2");
+    else
+      A.putWorker("w2", Worker.endpoint());
+    Added = !Added;
+    REQUIRE(Knows(A, Added ? 2 : 1));
+  }
+  REQUIRE_FALSE(Added);
+  CHECK(A.send("/safe/x")->result_int() == 200);
+
+  // The row of a known worker becomes unreadable and readable again.
+  A.putWorker("w2", Worker.endpoint());
+  REQUIRE(Knows(A, 2));
+  for (const OddRow &Row : OddRows) {
+    // In these rows only the key is odd.
+    if (Row.Value == OddRows.back().Value)
+      continue;
+    CAPTURE(Row.Key);
+    A.putWorkerRow("w2", Row.Value);
+    REQUIRE(Knows(A, 1));
+    CHECK(A.send("/safe/x")->result_int() == 200);
+    A.putWorker("w2", Worker.endpoint());
+    REQUIRE(Knows(A, 2));
+  }
+
+  // After the feed has ended, all rows are read again.
+  A.forgetHistory();
+  A.putConfig(2, Route("second"));
+  CHECK(HasNewRoute(A, "second"));
+  A.putWorker("w3", Worker.endpoint());
+  CHECK(Knows(A, 3));
+
+  // A second gateway reads the same rows, then learns changes by its peer.
+  GatewayFixture B(A);
+  B.start();
+  B.awaitReady();
+  CHECK(Knows(B, 3));
+  CHECK(eventually([&] {
+    const auto Hosts =
+        A.get(A.settings().Lookup, "/api/resolution?name=a.example&region=r");
+    return Hosts && Hosts->body().find("127.0.0.2") != std::string::npos;
+  }));
+  A.rejectSecondGateway(true);
+  PutOddRows();
+  A.putWorker("w4", Worker.endpoint());
+  A.removeWorker("w3");
+  A.putWorker("w5", Worker.endpoint());
+  A.putConfig(3, Route("second") + Route("third"));
+  for (GatewayFixture *Gateway : {&A, &B}) {
+    CHECK(HasNewRoute(*Gateway, "third"));
+    CHECK(Knows(*Gateway, 4));
+    CHECK(Gateway->send("/safe/x")->result_int() == 200);
+  }
+}
+
 // Guards against non-idempotent requests that run twice, false rejections, and
 // answers that are truncated or belong to another request. The first worker to
 // receive the request behaves as the case specifies, later ones answer it.
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -120,6 +120,11 @@
   runOnStore([&](auto &Server) { Server.put("servers", Id, Row); });
 }
 
+void GatewayFixture::putWorkerRow(const std::string &Key,
+                                  const std::string &Value) {
+  runOnStore([&](auto &Server) { Server.put("servers", Key, Value); });
+}
+
 void GatewayFixture::removeWorker(const std::string &Id) {
   runOnStore([&](auto &Server) { Server.remove("servers", Id); });
 }
@@ -135,6 +140,10 @@
   runOnStore([&](auto &Server) { Server.setMode(Mode); });
 }
 
+void GatewayFixture::forgetHistory() {
+  runOnStore([](auto &Server) { Server.forgetHistory(); });
+}
+
 void GatewayFixture::rejectSecondGateway(bool Reject) {
   runOnStore([&](auto &Server) { Server.shutSideDoor(Reject); });
 }
@@ -217,6 +226,17 @@
   }
 }
 
+unsigned GatewayFixture::knownWorkers() {
+  constexpr std::string_view Gauge = "\nmasticgap_workers_known ";
+  const auto Text =
+      get({Settings.Traffic.Address, Settings.MetricsPort}, "/metrics");
+  REQUIRE(Text);
+  const std::size_t At = Text->body().find(Gauge);
+  REQUIRE(At != std::string::npos);
+  return static_cast<unsigned>(
+      std::stoul(Text->body().substr(At + Gauge.size())));
+}
+
 std::string workerAnswer(unsigned Status, const std::string &Id,
                          const std::string &Body, const std::string &Fields) {
   return "HTTP/1.1 " + std::to_string(Status) + " X\r\nAttempt-Id: " + Id +
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -30,11 +30,15 @@
   //! Registers a worker; the gateway learns of it some time later.
   void putWorker(const std::string &Id, const Endpoint &Address,
                  bool Draining = false);
+  //! Writes any bytes as a row of the table of workers.
+  void putWorkerRow(const std::string &Key, const std::string &Value);
   void removeWorker(const std::string &Id);
   //! Writes a configuration with an idempotent route /safe/ and a
   //! non-idempotent route /unsafe/, both with a timeout of one second.
   void putConfig(unsigned Version, const std::string &ExtraRoutes = "");
   void setStore(standins::StoreMode Mode);
+  //! Ends the feeds of the store; gateways have to read its tables again.
+  void forgetHistory();
   //! Sets whether the store rejects a second gateway.
   void rejectSecondGateway(bool Reject);
 
@@ -57,6 +61,8 @@
                                               unsigned DeadlineMs = 3000);
   std::optional<transport::HttpResponse> get(const Endpoint &From,
                                              const std::string &Target);
+  //! Returns the number of workers that the gateway knows.
+  unsigned knownWorkers();
 
   const gateway::GatewaySettings &settings() const { return Settings; }
 
