Allocate no more than the input when a peer's answer is read

cereal resizes a string or list to the size that the input states before it reads the elements. An answer of a peer with one wrong byte in a size field made a host allocate and clear that many bytes, so that it could be ended by the system for lack of memory, and any byte was read into a bool, which is undefined for values above 1.

decodeUpdate() now reads texts in parts of 64 KiB and rows one by one, so it ends at the end of the input, and rejects flags other than 0 and 1. The format on the wire is the same.

The new test failed before (address space limited to 4 GB): sizes of 256 MiB raised the peak size of the process by 328380 KiB where 64 MiB are allowed, and both wrong flags were accepted. It passes now.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -14,7 +14,7 @@
 
 namespace masticgap::coordination {
 
-template <class Archive> void serialize(Archive &Ar, RowChange &Change) {
+template <class Archive> void save(Archive &Ar, const RowChange &Change) {
   Ar(Change.Row.Key, Change.Row.Value, Change.Row.Version, Change.Removed);
 }
 
@@ -24,13 +24,65 @@
 
 namespace http = boost::beast::http;
 
-template <class Archive> void serialize(Archive &Ar, PeerUpdate &Update) {
+template <class Archive> void save(Archive &Ar, const PeerUpdate &Update) {
   Ar(Update.Changes, Update.Version, Update.IsSnapshot,
      Update.RemovalsMayBeLapses);
 }
 
 namespace {
 
+using Input = cereal::PortableBinaryInputArchive;
+
+// cereal allocates the size that the input states before it reads the elements,
+// and reads any byte into a bool. The functions below read the same format, but
+// allocate no more than about the size of the input.
+
+std::uint64_t loadSize(Input &Ar) {
+  cereal::size_type Size = 0;
+  Ar(cereal::make_size_tag(Size));
+  return Size;
+}
+
+std::string loadText(Input &Ar) {
+  constexpr std::uint64_t PartBytes = 64 * 1024;
+  std::string Text;
+  for (std::uint64_t Rest = loadSize(Ar); Rest > 0;) {
+    const auto Part = static_cast<std::size_t>(std::min(Rest, PartBytes));
+    const std::size_t At = Text.size();
+    Text.resize(At + Part);
+    Ar(cereal::binary_data(Text.data() + At, Part));
+    Rest -= Part;
+  }
+  return Text;
+}
+
+bool loadFlag(Input &Ar) {
+  std::uint8_t Byte = 0;
+  Ar(Byte);
+  if (Byte > 1)
+    throw cereal::Exception("a flag is neither 0 nor 1");
+  return Byte == 1;
+}
+
+coordination::RowChange loadChange(Input &Ar) {
+  coordination::RowChange Change;
+  Change.Row.Key = loadText(Ar);
+  Change.Row.Value = loadText(Ar);
+  Ar(Change.Row.Version);
+  Change.Removed = loadFlag(Ar);
+  return Change;
+}
+
+PeerUpdate loadUpdate(Input &Ar) {
+  PeerUpdate Update;
+  for (std::uint64_t Rest = loadSize(Ar); Rest > 0; --Rest)
+    Update.Changes.push_back(loadChange(Ar));
+  Ar(Update.Version);
+  Update.IsSnapshot = loadFlag(Ar);
+  Update.RemovalsMayBeLapses = loadFlag(Ar);
+  return Update;
+}
+
 constexpr std::string_view ChangesPath = "/peer/changes";
 //! Time for a peer's answer beyond the requested wait. After it the fetch fails
 //! and another peer is queried.
@@ -97,15 +149,13 @@
 
 std::optional<PeerUpdate> decodeUpdate(std::string_view Bytes) {
   std::istringstream Stream{std::string(Bytes)};
-  PeerUpdate Update;
   try {
-    cereal::PortableBinaryInputArchive Archive(Stream);
-    Archive(Update);
+    Input Archive(Stream);
+    return loadUpdate(Archive);
   } catch (const std::exception &) {
     // cereal reports truncated or malformed input only by exceptions.
     return std::nullopt;
   }
-  return Update;
 }
 
 PeerExchange::PeerExchange(boost::asio::io_context &Io, const Endpoint &Bind,
--- a/tests/gateway/peer_exchange.tests.cpp
+++ b/tests/gateway/peer_exchange.tests.cpp
@@ -11,6 +11,8 @@
 #include <thread>
 #include <vector>
 
+#include <sys/resource.h>
+
 using namespace masticgap;
 using namespace masticgap::gateway;
 namespace asio = boost::asio;
@@ -81,6 +83,13 @@
   return Count;
 }
 
+//! Returns the largest resident size of this process so far.
+long peakKilobytes() {
+  rusage Usage{};
+  REQUIRE(::getrusage(RUSAGE_SELF, &Usage) == 0);
+  return Usage.ru_maxrss;
+}
+
 } // namespace
 
 // Guards against a second write over the answer that is being written.
@@ -115,3 +124,56 @@
       CHECK(countAnswers(Host.receiveAll(Peer)) == 1);
   }
 }
+
+// Guards against memory that is allocated because a size in a peer's answer is
+// wrong, and against flags that are neither true nor false.
+TEST_CASE("a malformed answer of a peer is rejected") {
+  const PeerUpdate Update{
+      {{{"w1", std::string(100000, 'v'), 7}, false}, {{"w2", "", 8}, true}},
+      9,
+      true,
+      false};
+  const std::string Good = encodeUpdate(Update);
+  const auto Read = decodeUpdate(Good);
+  REQUIRE(Read);
+  CHECK(Read->Changes == Update.Changes);
+  CHECK(Read->Version == 9);
+  CHECK(Read->IsSnapshot);
+  CHECK_FALSE(Read->RemovalsMayBeLapses);
+
+  // A byte for the byte order, then sizes of eight bytes.
+  constexpr std::size_t RowsAt = 1;
+  constexpr std::size_t KeySizeAt = RowsAt + 8;
+  constexpr std::size_t ValueSizeAt = KeySizeAt + 8 + 2;
+  struct Case {
+    std::size_t At;
+    std::size_t Byte; //!< Of the size, in ascending significance.
+    char Value;
+  };
+  const Case Cases[] = {
+      {RowsAt, 2, '\x40'},      {RowsAt, 7, '\x40'},
+      {KeySizeAt, 3, '\x10'},   {KeySizeAt, 7, '\x40'},
+      {ValueSizeAt, 3, '\x10'}, {ValueSizeAt, 5, '\x40'},
+      {ValueSizeAt, 7, '\x40'},
+  };
+  const long Before = peakKilobytes();
+  for (const auto &C : Cases) {
+    CAPTURE(C.At);
+    CAPTURE(C.Byte);
+    std::string Changed = Good;
+    Changed[C.At + C.Byte] = C.Value;
+    CHECK_FALSE(decodeUpdate(Changed));
+  }
+  // The sizes that can be allocated are of 256 MiB and more.
+  CHECK(peakKilobytes() - Before < 64 * 1024);
+  for (const std::size_t FromEnd : {1, 2}) {
+    std::string Changed = Good;
+    Changed[Changed.size() - FromEnd] = '\x02';
+    CHECK_FALSE(decodeUpdate(Changed));
+  }
+  for (const std::size_t Size : {std::size_t(0), std::size_t(1), KeySizeAt,
+                                 ValueSizeAt + 50000, Good.size() - 1}) {
+    CAPTURE(Size);
+    CHECK_FALSE(decodeUpdate(Good.substr(0, Size)));
+  }
+}
