Cut long values in the decision log

A worker whose row names a service of up to 64 KiB is registered with a log line of that length. Two such lines filled the buffer of 128 KiB, and the log dropped the lines that followed, so an operator would not see why requests were rejected at that time. Error messages about rows were bounded already: they do not quote values, and keys have at most 200 bytes.

Values of fields are now cut after 1024 bytes.

--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -21,6 +21,10 @@
 //! PIPE_BUF of Linux: once poll() reports a pipe as writable, this many bytes
 //! can be written without blocking.
 constexpr std::size_t WriteBytes = 4096;
+//! Longer values of fields are cut, so that one value of another writer, such
+//! as the service of a worker, does not displace other lines.
+constexpr std::size_t MaxValueBytes = 1024;
+constexpr std::string_view CutMark = "...";
 //! Lines are collected for this time, which saves a system call per line.
 constexpr std::chrono::milliseconds FlushDelay{250};
 
@@ -77,7 +81,11 @@
     Buffer += ' ';
     Buffer += Name;
     Buffer += '=';
-    append(Buffer, Value.text());
+    const std::string &Text = Value.text();
+    if (Text.size() > MaxValueBytes)
+      append(Buffer, Text.substr(0, MaxValueBytes).append(CutMark));
+    else
+      append(Buffer, Text);
   }
   Buffer += '\n';
   scheduleFlush();
--- a/tests/gateway/decision_log.tests.cpp
+++ b/tests/gateway/decision_log.tests.cpp
@@ -68,6 +68,27 @@
         "text=\"x?\\\"\"\n");
 }
 
+// Guards against a value of another writer that displaces other lines.
+TEST_CASE("long values are cut and do not displace other lines") {
+  boost::asio::io_context Io;
+  Pipe Out;
+  DecisionLog Log(Io, HostId("h1"), Out.writer());
+  for (int I = 0; I < 20; ++I)
+    Log.write(LogClass::Decision, "worker_registered",
+              {{"worker", I}, {"service", std::string(65536, 's')}});
+  Log.write(LogClass::Decision, "rejected", {{"id", std::string(1024, 'i')}});
+  CHECK(Log.dropped() == 0);
+  std::string All;
+  for (int I = 0; I < 100; ++I) {
+    Log.flush();
+    All += Out.read();
+  }
+  CHECK(All.size() < 21 * 1200);
+  CHECK(All.find(" worker=19 service=" + std::string(1024, 's') + "...\n") !=
+        std::string::npos);
+  CHECK(All.ends_with(" id=" + std::string(1024, 'i') + "\n"));
+}
+
 // Guards against requests that block because the log output is not read.
 TEST_CASE(
     "an output that is not read blocks nothing and drops complete lines") {
