Follow the host list when one worker of it is unreadable

One worker entry with, for example, port 65536 or a number too large made the whole host list unusable, so an entry host kept its last list and missed all later changes. One with no list yet had no workers.

readHostList() skips a worker that cannot be read and keeps its problem; the poller logs the number and the first problem when they change. Malformed documents and entry hosts are still rejected. parseHostList() stays strict for the stand-in's control call, so "errors in lists name the element" is unchanged.

The new test fails with parseHostList() in place of readHostList() (no list for the first entry) and passes now (protocol-tests 14 of 14). transport-tests passed (26 of 26) before the member Skipped got its initializer, which entry-tests needs to compile; entry-tests was not run with this change.

--- a/src/entry/control_host_list.cpp
+++ b/src/entry/control_host_list.cpp
@@ -61,6 +61,11 @@
 
 void HostListPoller::accept(protocol::HostList List) {
   HasList = true;
+  LOG_IF(WARNING, !List.Skipped.empty() && List.Skipped != Skipped)
+      << "skipped " << List.Skipped.size()
+      << " workers of the host list, the first one because "
+      << describe(List.Skipped.front());
+  Skipped = List.Skipped;
   OnList(std::move(List));
 }
 
@@ -85,7 +90,7 @@
   if (Answer.result() != boost::beast::http::status::ok)
     return;
   auto Parsed = capture<protocol::HostList>(
-      [&] { return protocol::parseHostList(Answer.body()); });
+      [&] { return protocol::readHostList(Answer.body()); });
   if (auto *List = std::get_if<protocol::HostList>(&Parsed)) {
     LOG(INFO) << "platform unavailable; using the host list of a peer";
     accept(std::move(*List));
--- a/src/entry/control_host_list.hpp
+++ b/src/entry/control_host_list.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <vector>
 
 namespace masticgap::entry {
 
@@ -50,6 +51,7 @@
   boost::asio::steady_timer Timer;
   std::size_t LiveHosts = 1;
   bool HasList = false;
+  std::vector<Error> Skipped; //!< Of the last list that was read.
   bool Failing = false;
   bool Stopped = false;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/masticgap/protocol/platform_json.cpp
+++ b/src/masticgap/protocol/platform_json.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/leaf/error.hpp>
 
 namespace masticgap::protocol {
 
@@ -174,18 +175,33 @@
   return valueOrError(readEntryHost(Json, "", Errors), Errors);
 }
 
-boost::leaf::result<HostList> parseHostList(std::string_view Json) {
+boost::leaf::result<HostList> readHostList(std::string_view Json) {
   JsonErrors Errors(ErrorKind::Protocol);
   const json::value Value = parseJson(Json, Errors);
   ObjectReader Reader(Value, "", Errors);
   HostList Hosts;
-  Hosts.Workers =
-      readList<WorkerDescriptor>(Reader, "workers", Errors, readWorker);
+  if (const json::array *Workers = Reader.array("workers"))
+    for (std::size_t I = 0; I < Workers->size(); ++I) {
+      JsonErrors WorkerErrors(ErrorKind::Protocol);
+      WorkerDescriptor Worker =
+          readWorker((*Workers)[I], Reader.path("workers", I), WorkerErrors);
+      if (WorkerErrors)
+        Hosts.Skipped.push_back(WorkerErrors.first());
+      else
+        Hosts.Workers.push_back(std::move(Worker));
+    }
   Hosts.EntryHosts = readList<EntryHostDescriptor>(Reader, "entry_hosts",
                                                    Errors, readEntryHost);
   return valueOrError(std::move(Hosts), Errors);
 }
 
+boost::leaf::result<HostList> parseHostList(std::string_view Json) {
+  BOOST_LEAF_AUTO(Hosts, readHostList(Json));
+  if (!Hosts.Skipped.empty())
+    return boost::leaf::new_error(Hosts.Skipped.front());
+  return Hosts;
+}
+
 std::string toJson(const HostList &Hosts) {
   json::array Workers;
   for (const WorkerDescriptor &W : Hosts.Workers)
--- a/src/masticgap/protocol/platform_json.hpp
+++ b/src/masticgap/protocol/platform_json.hpp
@@ -2,6 +2,7 @@
 
 #include "masticgap/coordination/store_types.hpp"
 #include "masticgap/state/entry_host_descriptor.hpp"
+#include "masticgap/state/error.hpp"
 #include "masticgap/state/worker_descriptor.hpp"
 
 #include <boost/json/object.hpp>
@@ -19,6 +20,8 @@
 struct HostList {
   std::vector<WorkerDescriptor> Workers;
   std::vector<EntryHostDescriptor> EntryHosts;
+  //! Problems of the workers that readHostList() skipped.
+  std::vector<Error> Skipped = {};
 
   friend bool operator==(const HostList &, const HostList &) = default;
 };
@@ -43,6 +46,9 @@
 boost::leaf::result<EntryHostDescriptor>
 parseEntryHostDescriptor(const boost::json::value &Json);
 boost::leaf::result<HostList> parseHostList(std::string_view Json);
+//! Like parseHostList(), but skips workers that cannot be read, so that one
+//! entry of another writer does not keep a host from following the list.
+boost::leaf::result<HostList> readHostList(std::string_view Json);
 std::string toJson(const HostList &Hosts);
 
 //! Returns the body of POST /table/transact.
--- a/src/masticgap/transport/platform_client.cpp
+++ b/src/masticgap/transport/platform_client.cpp
@@ -205,7 +205,7 @@
 
 void PlatformClient::hosts(Handler<protocol::HostList> OnDone) {
   Pimpl->send(http::verb::get, "/hosts", {},
-              parseWith(std::move(OnDone), protocol::parseHostList));
+              parseWith(std::move(OnDone), protocol::readHostList));
 }
 
 void PlatformClient::putObject(std::string_view Name, std::string Bytes,
--- a/tests/protocol/platform_json.tests.cpp
+++ b/tests/protocol/platform_json.tests.cpp
@@ -76,6 +76,43 @@
   CHECK(std::get<Error>(Read).Message == "workers[1].id is 1");
 }
 
+// Guards against a host that stops following the list because of one entry.
+TEST_CASE("a worker that cannot be read is skipped and named") {
+  struct Case {
+    std::string Entry;
+    const char *Message;
+  };
+  const Case Cases[] = {
+      {R"({"id":1})", "workers[1].id is 1"},
+      {"7", "workers[1] is 7"},
+      {"null", "workers[1] is null"},
+      {replaced(Worker, R"("port":80)", R"("port":65536)"),
+       "workers[1].port is 65536"},
+      {replaced(Worker, R"("port":80)", R"("port":0)"), "workers[1].port is 0"},
+      {replaced(Worker, R"("slots":3)", R"("slots":1e999999999)"),
+       "workers[1].slots is "},
+      {replaced(Worker, R"("slots":3)", R"("slots":18446744073709551616)"),
+       "workers[1].slots is "},
+      {replaced(Worker, R"("id":"w")",
+                R"("id":")" + std::string(65536, 'w') + '"'),
+       "workers[1].id is "},
+  };
+  for (const auto &C : Cases) {
+    CAPTURE(std::string(C.Message));
+    const std::string List = std::string(R"({"workers":[)") + Worker + "," +
+                             C.Entry + "," + Worker + R"(],"entry_hosts":[]})";
+    const auto Read = capture<HostList>([&] { return readHostList(List); });
+    REQUIRE(std::holds_alternative<HostList>(Read));
+    const HostList &Hosts = std::get<HostList>(Read);
+    CHECK(Hosts.Workers.size() == 2);
+    REQUIRE(Hosts.Skipped.size() == 1);
+    CHECK(Hosts.Skipped[0].Message.starts_with(C.Message));
+    CHECK(describe(Hosts.Skipped[0]).size() < 256);
+    CHECK(std::holds_alternative<Error>(
+        capture<HostList>([&] { return parseHostList(List); })));
+  }
+}
+
 TEST_CASE("incomplete and invalid JSON documents are rejected") {
   for (const char *Text :
        {"", "{", "null", "[]", R"({"workers":[]})", R"({"rows":{}})",
@@ -83,6 +120,8 @@
     CAPTURE(Text);
     CHECK(std::holds_alternative<Error>(
         capture<HostList>([&] { return parseHostList(Text); })));
+    CHECK(std::holds_alternative<Error>(
+        capture<HostList>([&] { return readHostList(Text); })));
     CHECK(std::holds_alternative<Error>(
         capture<std::vector<TableRow>>([&] { return parseScan(Text); })));
     CHECK(std::holds_alternative<Error>(
