Serve a request that arrives as its idle connection expires

A caller that reused a kept connection just as its idle time ended got neither an answer nor a rejection: the connection was closed, although the gateway had read the whole request.

After the first request a wait for readability stays armed on the socket. If the request and the timeout of the stream are ready in one turn, the read completes, but its handler runs after that of the timer, which closes the socket, and the read is reported as timed out with its bytes dropped. The same drop was possible for bytes that a drain found unread.

The idle time now has a timer of its own, which only cancels the read, and whose handler checks that its period is still the current one. A read that has completed is kept, and bytes that have arrived are read before the connection is closed.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -43,7 +43,8 @@
 
 CallerConnection::CallerConnection(Tcp::socket Socket,
                                    const EntryLimits &Limits)
-    : Stream(std::move(Socket)), Limits(Limits) {}
+    : Stream(std::move(Socket)), Limits(Limits),
+      IdleTimer(Stream.get_executor()) {}
 
 asio::awaitable<std::optional<ReadFailure>> CallerConnection::readHead() {
   Parser.emplace();
@@ -54,9 +55,13 @@
   LastAnswerKeptAlive = true;
   // IdleTimeout applies between requests, ReceiveTimeout within a head.
   while (Buffer.size() == 0) {
-    Stream.expires_after(Limits.IdleTimeout);
+    startIdleTimer();
     const auto [Error, Bytes] =
         co_await Stream.async_read_some(Buffer.prepare(ReadBytes), AsTuple);
+    stopIdleTimer();
+    // Bytes that have arrived meanwhile are read in the next round.
+    if (Error == asio::error::operation_aborted && peek() > 0)
+      continue;
     if (Error)
       co_return ReadFailure::Closed;
     Buffer.commit(Bytes);
@@ -70,6 +75,25 @@
   co_return std::nullopt;
 }
 
+void CallerConnection::startIdleTimer() {
+  // The timer of the stream closes the socket, and drops bytes of a read that
+  // has completed, but whose handler has not run.
+  Stream.expires_never();
+  IdleTimer.expires_after(Limits.IdleTimeout);
+  IdleTimer.async_wait([WeakSelf = weak_from_this(),
+                        Period = ++IdlePeriod](beast::error_code Error) {
+    const auto Self = WeakSelf.lock();
+    // This handler may have been queued before the period ended.
+    if (!Error && Self && Self->IdlePeriod == Period)
+      Self->Stream.cancel();
+  });
+}
+
+void CallerConnection::stopIdleTimer() {
+  ++IdlePeriod;
+  IdleTimer.cancel();
+}
+
 const http::request_header<> &CallerConnection::head() const {
   return Parser->get().base();
 }
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -6,12 +6,14 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -94,6 +96,8 @@
   readSome(std::span<char> Into, std::size_t &BytesRead);
   void watch(std::function<void()> OnGone);
   void unwatch() { OnGone = {}; }
+  void startIdleTimer();
+  void stopIdleTimer();
   void armWatch();
   void onReadable();
   //! Reads at most one byte without removing it.
@@ -103,6 +107,8 @@
   // native_handle() is not const.
   mutable boost::beast::tcp_stream Stream;
   const EntryLimits &Limits;
+  boost::asio::steady_timer IdleTimer;
+  std::uint64_t IdlePeriod = 0; //!< Number of starts and stops of IdleTimer.
   boost::beast::flat_buffer Buffer;
   using RequestParser =
       boost::beast::http::request_parser<boost::beast::http::buffer_body>;
