--- a/tests/gateway/peer_exchange.tests.cpp
+++ b/tests/gateway/peer_exchange.tests.cpp
@@ -99,19 +99,19 @@
   enum class Order { OnlyExpiry, OnlyChange, ChangeFirst, ExpiryFirst };
   struct Case {
     const char *Name;
-    Order Events; //!< Handlers of expired timers run in the order of expiry.
     std::size_t Queries;
+    std::uint64_t Version; //!< Of the answer.
+    Order Events; //!< Handlers of expired timers run in the order of expiry.
     //! Look-ups in the table for each query: when it arrives, when a change is
     //! announced while it waits, and for its answer.
     int Lookups;
-    std::uint64_t Version; //!< Of the answer.
   };
   const Case Cases[] = {
-      {"expiry only", Order::OnlyExpiry, 1, 2, 1},
-      {"change only", Order::OnlyChange, 1, 3, 2},
-      {"change, then expiry", Order::ChangeFirst, 1, 3, 2},
-      {"expiry, then change", Order::ExpiryFirst, 1, 2, 1},
-      {"change, then many expiries", Order::ChangeFirst, 20, 3, 2}};
+      {"expiry only", 1, 1, Order::OnlyExpiry, 2},
+      {"change only", 1, 2, Order::OnlyChange, 3},
+      {"change, then expiry", 1, 2, Order::ChangeFirst, 3},
+      {"expiry, then change", 1, 1, Order::ExpiryFirst, 2},
+      {"change, then many expiries", 20, 2, Order::ChangeFirst, 3}};
   for (const auto &C : Cases) {
     CAPTURE(C.Name);
     QueriedHost Host;
