Cut off no caller that comes late to a stopping host

Cause: drain() closed the listening socket, which resets the connections that wait at it, and dropped a connection that was accepted in the same turn of the event loop. A request that came late in the grace period was passed on with a shortened deadline and cut off at the end, also if it may not be repeated.

Waiting connections are accepted before the socket is closed, and a request that may outlast the host is rejected with 503 and not passed on (StopPolicy).

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -6,7 +6,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <exception>
 #include <set>
 #include <string_view>
@@ -23,6 +25,9 @@
 
 namespace {
 
+//! Time for which a stopping host waits for the first request on a connection.
+constexpr std::chrono::milliseconds FirstRequestWait{300};
+
 std::string_view view(boost::beast::string_view Text) {
   return {Text.data(), Text.size()};
 }
@@ -32,7 +37,7 @@
 class GatewayServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(GatewayState &State, const Endpoint &Bind)
-      : State(State), Acceptor(State.Io) {
+      : State(State), Acceptor(State.Io), IdleTimer(State.Io) {
     const Tcp::endpoint Address(asio::ip::make_address(Bind.Address),
                                 Bind.Port);
     Acceptor.open(Address.protocol());
@@ -42,6 +47,8 @@
   }
 
   void accept();
+  void acceptWaiting();
+  void closeIdle();
   void startSession(Tcp::socket Socket);
   asio::awaitable<void> session(std::shared_ptr<CallerConnection> Caller);
   asio::awaitable<bool> serveNext(CallerConnection &Caller);
@@ -54,6 +61,7 @@
 
   GatewayState &State;
   Tcp::acceptor Acceptor;
+  asio::steady_timer IdleTimer;
   std::set<std::shared_ptr<CallerConnection>> Callers;
   std::set<RequestFlow *> Running;
   std::function<void()> OnEmpty;
@@ -64,7 +72,7 @@
 void GatewayServer::Impl::accept() {
   Acceptor.async_accept([Self = shared_from_this()](beast::error_code Failure,
                                                     Tcp::socket Socket) {
-    if (Failure == asio::error::operation_aborted || Self->Draining)
+    if (Failure == asio::error::operation_aborted)
       return;
     if (Failure)
       Self->State.Log.write(LogClass::Decision, "accept_failed",
@@ -73,10 +81,31 @@
       Self->startSession(std::move(Socket));
     else
       Self->State.Stats.count("callers", "over_limit");
-    Self->accept();
+    // A connection may have been accepted just before drain().
+    if (!Self->Draining)
+      Self->accept();
   });
 }
 
+//! Accepts the connections that wait at the listening socket. Closing it would
+//! reset them.
+void GatewayServer::Impl::acceptWaiting() {
+  beast::error_code Failure;
+  Acceptor.non_blocking(true, Failure);
+  while (!Failure) {
+    Tcp::socket Socket = Acceptor.accept(Failure);
+    if (!Failure)
+      startSession(std::move(Socket));
+  }
+}
+
+void GatewayServer::Impl::closeIdle() {
+  const auto Open = Callers;
+  for (const auto &Caller : Open)
+    if (!Caller->isBusy())
+      Caller->closeIfIdle();
+}
+
 void GatewayServer::Impl::startSession(Tcp::socket Socket) {
   beast::error_code Ignored;
   Socket.set_option(Tcp::no_delay(true), Ignored);
@@ -185,16 +214,20 @@
 }
 
 void GatewayServer::drain(std::function<void()> OnEmpty) {
+  Pimpl->closeIdle();
   Pimpl->Draining = true;
+  Pimpl->acceptWaiting();
   beast::error_code Ignored;
   Pimpl->Acceptor.close(Ignored);
   Pimpl->OnEmpty = std::move(OnEmpty);
-  const auto Open = Pimpl->Callers;
-  for (const auto &Caller : Open) {
+  for (const auto &Caller : Pimpl->Callers)
     Caller->closeAfterAnswer();
-    if (!Caller->isBusy())
-      Caller->closeIfIdle();
-  }
+  // Callers whose connections were just accepted are about to send a request.
+  Pimpl->IdleTimer.expires_after(FirstRequestWait);
+  Pimpl->IdleTimer.async_wait([Self = Pimpl](beast::error_code Cancelled) {
+    if (!Cancelled)
+      Self->closeIdle();
+  });
   if (Pimpl->Callers.empty() && Pimpl->OnEmpty)
     std::exchange(Pimpl->OnEmpty, {})();
 }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_flow.hpp"
 
+#include "masticgap/coordination/admission/stop_policy.hpp"
 #include "masticgap/transport/http_types.hpp"
 #include "masticgap/transport/request_fingerprint.hpp"
 
@@ -68,6 +69,16 @@
     co_return;
   }
   readDeadline();
+  if (State.StopAt &&
+      !maySendDuringStop({MatchedRoute->LatencyObjective,
+                          State.Dispatch.typicalLatency(Service), Deadline},
+                         *State.StopAt, ReceivedAt)) {
+    logRejection("stopping", {}, ReceivedAt);
+    co_await finish(unavailable("stopping", Duration(0)));
+    co_return;
+  }
+  if (State.StopAt)
+    Deadline = std::min(Deadline, *State.StopAt);
   RequestFingerprint = transport::requestFingerprint(
       Request.Head, Request.Body, Request.Streamed, Caller.address());
   State.Dispatch.recordArrival(Service, ReceivedAt);
@@ -113,8 +124,6 @@
       RemainingMs >= 0)
     Deadline =
         std::min(Deadline, ReceivedAt + std::chrono::milliseconds(RemainingMs));
-  if (State.StopAt)
-    Deadline = std::min(Deadline, *State.StopAt);
 }
 
 DispatchRequest RequestFlow::dispatchRequest() const {
