Let joining workers take over objects one by one

Cold runs last longer than the route's timeout, so most of what was lost ended by 504.

A worker that started after most others of its service and region takes over its objects over 30 s, starting after its cold phase, and ranks as the next choice for the others. One host, chosen by hash, tries it; the trials of a region take 3 % of its requests. All hosts compute this from the workers' start times, so hosts that restart agree with the others.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -228,12 +228,17 @@
     return;
   std::vector<HostId> All;
   std::map<RegionName, unsigned> Live;
+  std::vector<HostId> LocalLive;
   for (const MemberRecord &Member : Gossip->members()) {
     All.push_back(Member.Host.Id);
-    if (isLive(Member))
-      ++Live[Member.Host.Region];
+    if (!isLive(Member))
+      continue;
+    ++Live[Member.Host.Region];
+    if (Member.Host.Region == Settings.Region)
+      LocalLive.push_back(Member.Host.Id);
   }
-  State.Dispatch.setHosts(std::move(All), std::move(Live));
+  State.Dispatch.setHosts(std::move(All), std::move(Live),
+                          std::move(LocalLive));
 }
 
 void GatewayDaemon::announceProgress() {
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -1,6 +1,7 @@
 #include "gateway/store_sync.hpp"
 
 #include "masticgap/state/error.hpp"
+#include "masticgap/transport/boot_clock.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -234,8 +235,6 @@
     State.Dispatch.directory().recordRemovals(RemovedWorkers,
                                               RemovalsMayBeLapses, State.now());
   }
-  if (Feed.Table == StoreTable::Workers && Feed.Follower.table().isLoaded())
-    InitialWorkers = false;
   if (Changes.empty())
     return;
   OnChange();
@@ -308,8 +307,13 @@
     return;
   }
   const auto &Registration = std::get<WorkerRegistration>(Decoded);
+  const Duration Age =
+      Registration.StartTime
+          ? std::chrono::milliseconds(transport::unixMilliseconds()) -
+                *Registration.StartTime
+          : Duration(0);
   const bool Accepted = State.Dispatch.directory().recordRegistration(
-      Registration, State.now(), InitialWorkers);
+      Registration, State.now(), Age);
   State.Log.write(LogClass::Decision, "worker_registered",
                   {{"worker", Id.value()},
                    {"service", Registration.Worker.Service.value()},
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -104,8 +104,6 @@
   std::map<std::string, FailureDomainName> Evacuations; //!< By row key.
   std::vector<WorkerId>
       RemovedWorkers; //!< Collected from one batch of changes.
-  //! True until the table of workers has been applied for the first time.
-  bool InitialWorkers = true;
   bool Stopped = false;
   //! Set to false by the destructor; handlers of pending calls check it.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/masticgap/coordination/affinity/affinity_choice.cpp
+++ b/src/masticgap/coordination/affinity/affinity_choice.cpp
@@ -1,5 +1,7 @@
 #include "masticgap/coordination/affinity/affinity_choice.hpp"
 
+#include "masticgap/coordination/joining/join_schedule.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -38,8 +40,17 @@
   std::optional<AffinityResult> Best;
   double BestCost = 0;
   const double TypicalNs = static_cast<double>(TypicalLatency.count());
-  for (std::size_t Rank = 0; Rank < Order.size(); ++Rank) {
-    const AffinityCandidate &Candidate = Candidates[Order[Rank].second];
+  std::size_t Joining = 0; // Workers so far that have not taken it over.
+  for (std::size_t Position = 0; Position < Order.size(); ++Position) {
+    const AffinityCandidate &Candidate = Candidates[Order[Position].second];
+    // A worker that has not taken over the object does not displace the others
+    // in its order, but is as good as the next one if they are busy.
+    const bool TakenOver =
+        isTakenOver(Candidate.WorkerHash, Object, Candidate.TakenOverShare);
+    const std::size_t Rank =
+        Position - Joining + (TakenOver ? 0 : Policy.PreferredWorkers);
+    if (!TakenOver)
+      ++Joining;
     const double Slots = std::max(1U, Candidate.Slots);
     // The k-th request beyond the slots waits for k completions.
     const double Waiting = std::max(0.0, Candidate.Occupancy + 1 - Slots);
@@ -63,7 +74,7 @@
     if (!Best || Cost < BestCost) {
       BestCost = Cost;
       Best = AffinityResult{
-          Order[Rank].second, Duration(static_cast<Duration::rep>(WaitNs)),
+          Order[Position].second, Duration(static_cast<Duration::rep>(WaitNs)),
           Duration(static_cast<Duration::rep>(LatencyNs)), Rank};
     }
   }
--- a/src/masticgap/coordination/affinity/affinity_choice.hpp
+++ b/src/masticgap/coordination/affinity/affinity_choice.hpp
@@ -20,6 +20,8 @@
   double FailureShare = 0;    //!< Share of recent requests that failed.
   Duration RoundTrip{0};      //!< Network round trip to the worker.
   bool Cold = false;          //!< Started recently and is still slow.
+  //! Share of its objects that the worker has taken over since it joined.
+  double TakenOverShare = 1;
 };
 
 //! Penalties of the choice, in units of the service's typical latency.
--- a/src/masticgap/coordination/dispatch/dispatcher.cpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.cpp
@@ -25,6 +25,13 @@
 constexpr Duration NoWorkersRetryAfter = std::chrono::milliseconds(500);
 //! Share of a worker's connection limit that all hosts together use.
 constexpr double UsableConnectionShare = 0.8;
+//! Time constant of the average rate of a service's requests.
+constexpr std::chrono::duration<double> ArrivalDecayTime{5};
+
+double decayedArrivals(double Count, Duration Age) {
+  return Count *
+         std::exp(-(std::chrono::duration<double>(Age) / ArrivalDecayTime));
+}
 
 } // namespace
 
@@ -38,6 +45,10 @@
   Duration TypicalLatency{0};
   bool HasTypicalLatency = false;
   double OverflowCredit = 0; //!< Requests that may leave a full region.
+  std::map<RegionName, JoinSchedule> Joining;
+  //! Decaying number of requests that arrived here, as of ArrivalsAt.
+  double Arrivals = 0;
+  Instant ArrivalsAt;
 };
 
 //! Workers that are eligible for one request.
@@ -59,9 +70,11 @@
 }
 
 void Dispatcher::setHosts(std::vector<HostId> All,
-                          std::map<RegionName, unsigned> Live) {
+                          std::map<RegionName, unsigned> Live,
+                          std::vector<HostId> LocalLive) {
   Hosts = std::move(All);
   LiveHosts = std::move(Live);
+  LocalHosts = std::move(LocalLive);
 }
 
 const ServiceTraits *Dispatcher::traits(const ServiceName &Service) const {
@@ -82,14 +95,17 @@
   if (!State) {
     State = std::make_unique<ServiceState>(Settings, Start);
     updateRegionShare(*State, Service, Now);
+    updateJoining(*State, Service, Now);
   }
   return *State;
 }
 
 std::vector<WorkerId> Dispatcher::tick(Instant Now) {
   auto Dropped = Directory.expire(Now);
-  for (auto &[Service, State] : ServiceStates)
+  for (auto &[Service, State] : ServiceStates) {
     updateRegionShare(*State, Service, Now);
+    updateJoining(*State, Service, Now);
+  }
   std::erase_if(Records, [&](const auto &Entry) {
     return Entry.second.inFlight() == 0 && !Directory.find(Entry.first);
   });
@@ -125,10 +141,31 @@
   State.Share.update(CapacityList, Now);
 }
 
+void Dispatcher::updateJoining(ServiceState &State, const ServiceName &Service,
+                               Instant Now) {
+  std::map<RegionName, std::vector<Instant>> Groups;
+  for (const auto &[Id, WorkerState] : Directory.workers())
+    if (WorkerState.Worker.Service == Service &&
+        Directory.exclusion(WorkerState, Now) == WorkerExclusion::None)
+      Groups[WorkerState.Worker.Region].push_back(WorkerState.StartedAt);
+  const double HostRate =
+      decayedArrivals(State.Arrivals, Now - State.ArrivalsAt) /
+      ArrivalDecayTime.count();
+  for (auto &[Region, Schedule] : State.Joining)
+    if (!Groups.contains(Region))
+      Schedule.update({}, 0, Now);
+  for (auto &[Region, Group] : Groups) {
+    const auto LiveIt = LiveHosts.find(Region);
+    const double RegionHosts =
+        LiveIt == LiveHosts.end() ? 1 : std::max(1U, LiveIt->second);
+    State.Joining[Region].update(std::move(Group), HostRate * RegionHosts, Now);
+  }
+}
+
 void Dispatcher::recordArrival(const ServiceName &Service, Instant Now) {
-  if (!FirstArrival)
-    FirstArrival = Now;
   ServiceState &State = serviceState(Service, Now);
+  State.Arrivals = decayedArrivals(State.Arrivals, Now - State.ArrivalsAt) + 1;
+  State.ArrivalsAt = Now;
   State.Retries.recordRequest(Now);
   State.OverflowCredit =
       std::min(MaxOverflowCredit, State.OverflowCredit + OverflowShare);
@@ -146,6 +183,7 @@
   CandidateSet Result;
   Result.Now = Now;
   const ServiceTraits *Traits = traits(Request.Service);
+  const ServiceState &State = serviceState(Request.Service, Now);
   for (const auto &[Id, WorkerState] : Directory.workers()) {
     if (WorkerState.Worker.Service != Request.Service ||
         Directory.exclusion(WorkerState, Now) != WorkerExclusion::None)
@@ -175,6 +213,10 @@
     Candidate.Occupancy = Record.occupancy(Now);
     Candidate.RelativeLatency = Record.relativeLatency(Now);
     Candidate.FailureShare = Record.failureShare(Now);
+    if (const auto JoiningIt = State.Joining.find(WorkerState.Worker.Region);
+        JoiningIt != State.Joining.end())
+      Candidate.TakenOverShare = JoiningIt->second.takenOverShare(
+          {WorkerState.StartedAt, WorkerState.ColdUntil}, Now);
     if (WorkerState.Worker.Region != Settings.Region)
       Candidate.RoundTrip = Settings.CrossRegionRoundTrip;
     Result.Workers.push_back(&WorkerState);
@@ -226,15 +268,23 @@
   return Pick;
 }
 
-std::optional<WorkerPick>
-Dispatcher::pickNewWorker(const CandidateSet &Available) {
+std::optional<WorkerPick> Dispatcher::pickTrial(const CandidateSet &Available,
+                                                const ServiceState &State) {
+  const auto JoiningIt = State.Joining.find(Settings.Region);
+  if (JoiningIt == State.Joining.end() || JoiningIt->second.joining() == 0)
+    return std::nullopt;
+  const JoinSchedule &Schedule = JoiningIt->second;
   for (std::size_t I = 0; I < Available.Workers.size(); ++I) {
     const KnownWorker &WorkerState = *Available.Workers[I];
+    const AffinityCandidate &Candidate = Available.Candidates[I];
+    const WorkerStart Start{WorkerState.StartedAt, WorkerState.ColdUntil};
     const auto RecordIt = Records.find(WorkerState.Worker.Id);
     const bool Used = RecordIt != Records.end() && RecordIt->second.wasUsed();
-    const bool IsNew = FirstArrival && WorkerState.RegisteredAt > *FirstArrival;
-    if (!IsNew || WorkerState.InFirstList || Used ||
-        WorkerState.Worker.Region != Settings.Region)
+    if (Used || Candidate.Cold ||
+        WorkerState.Worker.Region != Settings.Region ||
+        !Schedule.isJoining(Start, Available.Now) ||
+        !Schedule.trialIsDue(Start, Candidate.WorkerHash, Available.Now) ||
+        !isTrialHost(Candidate.WorkerHash, Settings.Self, LocalHosts))
       continue;
     WorkerPick Pick = makePick(Available, I);
     Pick.AffinityRank = Settings.Affinity.PreferredWorkers;
@@ -251,11 +301,11 @@
   const CandidateSet Available = candidates(Request, Now);
   if (Available.Workers.empty())
     return Rejection{RejectReason::NoWorkers, NoWorkersRetryAfter, Duration(0)};
-  // Each host tries a new worker once, so that its latency is known before it
-  // becomes the preferred worker of objects. This request is subject neither to
-  // admission nor to the regional share.
+  // One host of the region tries a joining worker, which may be the preferred
+  // worker of no object. This request is subject neither to admission nor to
+  // the regional share.
   if (Request.Tried.empty())
-    if (auto Pick = pickNewWorker(Available))
+    if (auto Pick = pickTrial(Available, State))
       return *Pick;
 
   const auto Admit = [&](const WorkerPick &Pick) {
--- a/src/masticgap/coordination/dispatch/dispatcher.hpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "masticgap/coordination/fleet/worker_directory.hpp"
 #include "masticgap/coordination/fleet_budget/cold_start_limiter.hpp"
 #include "masticgap/coordination/fleet_budget/fleet_retry_budget.hpp"
+#include "masticgap/coordination/joining/join_schedule.hpp"
 #include "masticgap/coordination/region_share/region_share.hpp"
 #include "masticgap/state/traffic_config.hpp"
 
@@ -92,7 +93,9 @@
   //! Sets the entry hosts.
   //! \param All hosts that may send requests, including those that appear dead.
   //! \param Live number of live hosts by region.
-  void setHosts(std::vector<HostId> All, std::map<RegionName, unsigned> Live);
+  //! \param LocalLive live hosts of the local region, including this one.
+  void setHosts(std::vector<HostId> All, std::map<RegionName, unsigned> Live,
+                std::vector<HostId> LocalLive = {});
   //! Updates the regional shares; to be called about twice a second.
   //! \returns workers that were dropped because their lapsed registration did
   //! not return in time.
@@ -134,13 +137,15 @@
                                           const ServiceState &State,
                                           const RegionName *OnlyRegion,
                                           const DispatchRequest &Request);
-  //! Returns a new worker of the local region to which this host has not sent a
-  //! request yet.
-  std::optional<WorkerPick> pickNewWorker(const CandidateSet &Available);
+  //! Returns a joining worker of the local region that this host is to try.
+  std::optional<WorkerPick> pickTrial(const CandidateSet &Available,
+                                      const ServiceState &State);
   WorkerPick makePick(const CandidateSet &Available, std::size_t Index) const;
   static bool mayOverflow(ServiceState &State);
   void updateRegionShare(ServiceState &State, const ServiceName &Service,
                          Instant Now);
+  void updateJoining(ServiceState &State, const ServiceName &Service,
+                     Instant Now);
 
   DispatcherSettings Settings;
   Instant Start;
@@ -151,9 +156,7 @@
   std::map<WorkerId, WorkerRecord> Records;
   std::vector<HostId> Hosts;
   std::map<RegionName, unsigned> LiveHosts;
-  //! Time of the first request. Workers that registered before it are not new,
-  //! because all workers appear new when the whole system starts.
-  std::optional<Instant> FirstArrival;
+  std::vector<HostId> LocalHosts; //!< Live hosts of the local region.
 
 public:
   ~Dispatcher();
--- a/src/masticgap/coordination/fleet/worker_directory.cpp
+++ b/src/masticgap/coordination/fleet/worker_directory.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 bool WorkerDirectory::recordRegistration(const WorkerRegistration &Entry,
-                                         Instant Now, bool Initial) {
+                                         Instant Now, Duration Age) {
   const WorkerId &Id = Entry.Worker.Id;
   Incarnation &NewestRun = Newest[Id];
   if (Entry.Worker.Run < NewestRun)
@@ -28,10 +28,8 @@
   const bool SameIncarnation = WorkerIt != Workers.end() &&
                                WorkerIt->second.Worker.Run == Entry.Worker.Run;
   KnownWorker State = SameIncarnation ? WorkerIt->second : KnownWorker();
-  if (!SameIncarnation) {
-    State.RegisteredAt = Now;
-    State.InFirstList = Initial;
-  }
+  if (!SameIncarnation)
+    State.StartedAt = Now - std::max(Age, Duration(0));
   State.Worker = Entry.Worker;
   State.LapsedUntil.reset();
   State.ColdUntil = std::max(State.ColdUntil, Now + Entry.ColdDuration);
--- a/src/masticgap/coordination/fleet/worker_directory.hpp
+++ b/src/masticgap/coordination/fleet/worker_directory.hpp
@@ -4,6 +4,7 @@
 #include "masticgap/state/time.hpp"
 #include "masticgap/state/worker_descriptor.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -18,6 +19,8 @@
 struct WorkerRegistration {
   WorkerDescriptor Worker;  //!< Its Run orders the incarnations of one id.
   Duration ColdDuration{0}; //!< Of the cold phase, from when a host reads it.
+  //! Unix time at which the incarnation started, if the registration states it.
+  std::optional<std::chrono::milliseconds> StartTime;
 
   friend bool operator==(const WorkerRegistration &,
                          const WorkerRegistration &) = default;
@@ -26,11 +29,10 @@
 //! State of one worker as known to this host.
 struct KnownWorker {
   WorkerDescriptor Worker;
-  Instant RegisteredAt; //!< When this host learned of this incarnation.
-  Instant ColdUntil;    //!< Until then the worker tolerates few requests.
+  Instant StartedAt; //!< When this incarnation started.
+  Instant ColdUntil; //!< Until then the worker tolerates few requests.
   //! Set while the registration is lapsed; the worker is used until then.
   std::optional<Instant> LapsedUntil;
-  bool InFirstList = false; //!< Was in the first list that this host read.
 };
 
 //! Reason why a worker gets no requests.
@@ -62,10 +64,10 @@
   using ColdDurationFunction = std::function<Duration(const ServiceName &)>;
 
   //! Records a written registration.
-  //! \param Initial whether it was in the first list.
+  //! \param Age time since the start of the incarnation.
   //! \returns false if it is of an older incarnation and has no effect.
   bool recordRegistration(const WorkerRegistration &Entry, Instant Now,
-                          bool Initial);
+                          Duration Age = Duration(0));
 
   //! Records removed registrations.
   //! \param AfterOutage whether the registrations may have lapsed in an outage
--- a/tests/coordination/dispatch/dispatcher.tests.cpp
+++ b/tests/coordination/dispatch/dispatcher.tests.cpp
@@ -43,8 +43,8 @@
     return Result;
   }
 
-  void add(const std::string &Id, const std::string &Domain,
-           bool Initial = true, Duration Cold = 0s) {
+  void add(const std::string &Id, const std::string &Domain, Duration Age = 60s,
+           Duration Cold = 0s) {
     WorkerRegistration Entry;
     Entry.Worker.Id = WorkerId(Id);
     Entry.Worker.Service = Service;
@@ -53,7 +53,7 @@
     Entry.Worker.Slots = 3;
     Entry.Worker.Run = Incarnation{1};
     Entry.ColdDuration = Cold;
-    Dispatch.directory().recordRegistration(Entry, Start, Initial);
+    Dispatch.directory().recordRegistration(Entry, Start, Age);
   }
 
   DispatchDecision choose(std::uint64_t Object, Instant Now,
@@ -158,10 +158,11 @@
 TEST_CASE("a new worker is tried, a cold one at its rate") {
   Fixture F;
   F.choose(0, Start - 1s);
-  F.add("n9", "near-a", false, 3s);
+  F.add("n9", "near-a", 0s, 3s);
   int ToNewWorker = 0;
   for (int I = 0; I < 60; ++I) {
     const Instant Now = Start + 1s + I * 50ms;
+    F.Dispatch.tick(Now);
     const DispatchDecision Decision = F.choose(I, Now);
     const auto *Pick = std::get_if<WorkerPick>(&Decision);
     REQUIRE(Pick);
@@ -174,19 +175,20 @@
   CHECK(ToNewWorker <= 3 * 2 * 1.5 + 5);
 }
 
-// Guards against a start of the whole system after which every worker appears
-// new and objects are not sent to their preferred workers.
-TEST_CASE("workers that registered before the first request are not new") {
-  Fixture InFirstList(0, 0);
-  Fixture RegisteredLater(0, 0);
+// Guards against a start of the whole system, or of one host, after which every
+// worker appears to join and objects are not sent to their preferred workers.
+TEST_CASE("workers that started together do not join, whenever a host learns "
+          "of them") {
+  Fixture LearnedEarly(0, 0);
+  Fixture LearnedLate(0, 0);
   for (int I = 0; I < 8; ++I) {
-    InFirstList.add("n" + std::to_string(I), "near-a", true);
-    RegisteredLater.add("n" + std::to_string(I), "near-a", false);
+    LearnedEarly.add("n" + std::to_string(I), "near-a", 0s);
+    LearnedLate.add("n" + std::to_string(I), "near-a", I * 500ms);
   }
   for (std::uint64_t Object = 0; Object < 50; ++Object) {
     const Instant Now = Start + 2s;
-    CHECK(chosen(RegisteredLater.choose(Object, Now)) ==
-          chosen(InFirstList.choose(Object, Now)));
+    CHECK(chosen(LearnedLate.choose(Object, Now)) ==
+          chosen(LearnedEarly.choose(Object, Now)));
   }
 }
 
--- a/tests/coordination/fleet/worker_directory.tests.cpp
+++ b/tests/coordination/fleet/worker_directory.tests.cpp
@@ -58,7 +58,7 @@
     CAPTURE(C.Name);
     WorkerDirectory Directory;
     for (const WorkerRegistration &Registration : C.Entries)
-      Directory.recordRegistration(Registration, Start, false);
+      Directory.recordRegistration(Registration, Start);
     CHECK(exclusionOf(Directory, Start) == C.Expected);
   }
 }
@@ -84,10 +84,10 @@
   for (const auto &C : Cases) {
     CAPTURE(C.Name);
     WorkerDirectory Directory;
-    Directory.recordRegistration(registration("w"), Start, true);
+    Directory.recordRegistration(registration("w"), Start);
     for (int I = 0; I < 7; ++I)
-      Directory.recordRegistration(registration("x" + std::to_string(I)), Start,
-                                   true);
+      Directory.recordRegistration(registration("x" + std::to_string(I)),
+                                   Start);
     std::vector<WorkerId> Ids{WorkerId("w")};
     for (std::size_t I = 1; I < C.Removed; ++I)
       Ids.emplace_back("x" + std::to_string(I));
@@ -97,7 +97,7 @@
     CHECK((exclusionOf(Directory, Later) == WorkerExclusion::None) ==
           C.UsedAt1s);
     if (C.RenewedAfter1s)
-      Directory.recordRegistration(registration("w"), Later, false);
+      Directory.recordRegistration(registration("w"), Later);
     Directory.expire(Start + 3s);
     CHECK((exclusionOf(Directory, Start + 3s) == WorkerExclusion::None) ==
           C.UsedAt3s);
@@ -107,7 +107,7 @@
 TEST_CASE(
     "a leaving worker has no grace period when its registration is removed") {
   WorkerDirectory Directory;
-  Directory.recordRegistration(registration("w", 1, true), Start, true);
+  Directory.recordRegistration(registration("w", 1, true), Start);
   Directory.recordRemovals({WorkerId("w")}, true, Start);
   CHECK(exclusionOf(Directory, Start) == WorkerExclusion::Gone);
 }
@@ -115,7 +115,7 @@
 TEST_CASE("workers of an evacuated failure domain get no requests and are cold "
           "afterwards") {
   WorkerDirectory Directory;
-  Directory.recordRegistration(registration("w"), Start, true);
+  Directory.recordRegistration(registration("w"), Start);
   const auto Cold = [](const ServiceName &) { return Duration(3s); };
   Directory.setEvacuated({FailureDomainName("d")}, Cold, Start);
   CHECK(exclusionOf(Directory, Start) == WorkerExclusion::Evacuated);
@@ -127,7 +127,7 @@
 TEST_CASE(
     "a worker whose address was reused is gone until it registers again") {
   WorkerDirectory Directory;
-  Directory.recordRegistration(registration("w", 4), Start, true);
+  Directory.recordRegistration(registration("w", 4), Start);
   Directory.recordMisdirected(WorkerId("w"), Incarnation{3});
   CHECK(exclusionOf(Directory, Start) == WorkerExclusion::None);
   Directory.recordMisdirected(WorkerId("w"), Incarnation{4});
