Count the bytes between hosts by kind and by the network they cross

masticgap_network_bytes_total has the labels gossip, tables and requests, each within the failure domain, within the region and between regions.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -90,7 +90,8 @@
             LOG(ERROR) << "another process runs with host id " << Newer.Host.Id
                        << "; this process stops";
             Context.Out.Superseded();
-          }};
+          },
+          {}};
 }
 
 boost::leaf::result<void> Control::start() {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -38,6 +38,9 @@
 //! Time for which a member is suspected before it is declared dead, in gossip
 //! periods.
 constexpr int SuspicionPeriods = 3;
+//! Number of sends of a membership change by each host, as a factor of the
+//! binary digits of the number of hosts.
+constexpr unsigned TransmitFactor = 2;
 //! Socket buffer size for gossip; holds a few hundred datagrams.
 constexpr std::size_t GossipBufferBytes = 128 * 1024;
 
@@ -112,6 +115,9 @@
     Servers->Peers = std::make_unique<PeerExchange>(
         Io, Endpoint{Address, Settings.PeerPort},
         [this](const PeerUpdateQuery &Query) { return Sync.update(Query); });
+    Servers->Peers->onFetched([this](const Endpoint &Peer, std::size_t Bytes) {
+      State.Network.countPeer("tables", Peer.Address, Bytes);
+    });
     if (Settings.MetricsPort != 0)
       Servers->Metrics = std::make_unique<transport::HttpServer>(
           Io, Endpoint{Address, Settings.MetricsPort}, controlServerLimits(),
@@ -156,6 +162,7 @@
   Node.Membership.RandomSeed = RandomSeed + 1;
   Node.Membership.Timing.Period = Settings.GossipPeriod;
   Node.Membership.Timing.DirectTimeout = Settings.GossipPeriod / 2;
+  Node.Membership.Timing.TransmitFactor = TransmitFactor;
   Node.Membership.Timing.SuspicionTime =
       Settings.GossipPeriod * SuspicionPeriods;
   Node.BindAddress = Settings.Traffic.Address;
@@ -170,6 +177,9 @@
     if (Peer.Host.Id != Settings.Host)
       Sync.peerProgressed(Peer);
   };
+  Callbacks.Sent = [this](const Endpoint &To, std::size_t Bytes) {
+    State.Network.countPeer("gossip", To.Address, Bytes);
+  };
   Callbacks.RumorLearned = [this](const TimedRumor &Learned) {
     State.Crashes.onRumor(Learned.What, State.now());
   };
@@ -237,6 +247,7 @@
     if (Member.Host.Region == Settings.Region)
       LocalLive.push_back(Member.Host.Id);
   }
+  State.Network.setPeers(Gossip->members());
   State.Dispatch.setHosts(std::move(All), std::move(Live),
                           std::move(LocalLive));
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -30,7 +30,8 @@
                            const GatewaySettings &Settings,
                            const WireFormat &Wire, std::uint64_t Seed)
     : Io(Io), Settings(Settings), Wire(Wire), Log(Io, Settings.Host),
-      Random(Seed), Dispatch(dispatcherSettings(Settings), transport::now()),
+      Network(Stats, Settings.Domain, Settings.Region), Random(Seed),
+      Dispatch(dispatcherSettings(Settings), transport::now()),
       // Each random generator gets a different seed.
       Splits(Seed + 2),
       Connections(
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -6,6 +6,7 @@
 #include "gateway/metrics.hpp"
 #include "gateway/platform_api.hpp"
 #include "gateway/settings.hpp"
+#include "gateway/traffic_account.hpp"
 #include "masticgap/coordination/dispatch/dispatcher.hpp"
 #include "masticgap/coordination/traffic_split/split_schedule.hpp"
 #include "masticgap/transport/worker_connection_pool.hpp"
@@ -44,6 +45,7 @@
   entry::EntryLimits Limits;
   DecisionLog Log;
   Metrics Stats;
+  TrafficAccount Network;
   std::mt19937_64 Random;
   std::shared_ptr<const TrafficConfig> Config; //!< Null until one is read.
   coordination::Dispatcher Dispatch;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -215,12 +215,15 @@
 
 void PeerExchange::fetch(const Endpoint &Peer, const PeerUpdateQuery &Query,
                          Handler Done) {
+  const std::string Target = queryTarget(Query);
   transport::fetch(
-      Io, Peer,
-      transport::makeRequest(http::verb::get, Peer, queryTarget(Query)),
+      Io, Peer, transport::makeRequest(http::verb::get, Peer, Target),
       Query.Wait + FetchReserve,
-      [Done = std::move(Done)](boost::system::error_code Failure,
-                               const transport::HttpResponse &Answer) {
+      [Done = std::move(Done), Count = CountBytes, Peer,
+       QueryBytes = Target.size()](boost::system::error_code Failure,
+                                   const transport::HttpResponse &Answer) {
+        if (Count)
+          Count(Peer, QueryBytes + Answer.body().size());
         if (Failure || Answer.result() != http::status::ok)
           return Done(std::nullopt);
         Done(decodeUpdate(Answer.body()));
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <list>
 #include <memory>
@@ -60,6 +61,11 @@
                Source LocalUpdate);
   ~PeerExchange();
 
+  //! Sets a function that gets the number of bytes of each fetch, of the
+  //! query and the answer.
+  void onFetched(std::function<void(const Endpoint &, std::size_t)> Count) {
+    CountBytes = std::move(Count);
+  }
   //! Fetches the changes that a peer has; the handler gets nothing on failure.
   void fetch(const Endpoint &Peer, const PeerUpdateQuery &Query, Handler Done);
   //! Answers the waiting peers whose queries now have a result.
@@ -87,6 +93,7 @@
 
   boost::asio::io_context &Io;
   Source LocalUpdate;
+  std::function<void(const Endpoint &, std::size_t)> CountBytes;
   transport::HttpServer Server;
   //! Queries without an answer, owned by this list only, so that none outlives
   //! this object. Whoever removes one answers it.
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -96,10 +96,14 @@
   const bool RequestSent = Exchange.bytesSent() > 0;
   if (RequestSent)
     ++WorkersReached;
-  if (StartFailure)
-    co_return afterFailure({*StartFailure, Exchange.connected(), RequestSent},
-                           Pick, SentAt);
-  co_return co_await receive(Exchange, Pick, SentAt);
+  AttemptOutcome Next =
+      StartFailure
+          ? afterFailure({*StartFailure, Exchange.connected(), RequestSent},
+                         Pick, SentAt)
+          : co_await receive(Exchange, Pick, SentAt);
+  State.Network.countWorker(Pick.Worker,
+                            Exchange.bytesSent() + Exchange.bytesReceived());
+  co_return Next;
 }
 
 asio::awaitable<RequestFlow::AttemptOutcome>
--- a/src/masticgap/transport/gossip_node.cpp
+++ b/src/masticgap/transport/gossip_node.cpp
@@ -224,6 +224,7 @@
         }
         ++Counters.MessagesSent;
         Counters.BytesSent += Datagram.size();
+        callIfSet(Callbacks.Sent, Message.To, Datagram.size());
         return {};
       },
       [&](const Error &E) {
--- a/src/masticgap/transport/gossip_node.hpp
+++ b/src/masticgap/transport/gossip_node.hpp
@@ -32,6 +32,8 @@
   std::function<void(const coordination::MemberRecord &)> MemberProgressed;
   std::function<void(const coordination::TimedRumor &)> RumorLearned;
   std::function<void(const coordination::MemberRecord &)> SelfSuperseded;
+  //! A datagram of some bytes was sent.
+  std::function<void(const Endpoint &To, std::size_t Bytes)> Sent;
 };
 
 //! Receives the result of GossipNode::spread.
