Do not await within a conditional expression

Cause: GCC 12 destroys the temporaries of a conditional expression with co_await twice.

Measured: the gateway tests end by SIGABRT in "an answer that breaks off is never a success" without the change; all 27 pass with it.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -96,14 +96,20 @@
   const bool RequestSent = Exchange.bytesSent() > 0;
   if (RequestSent)
     ++WorkersReached;
-  AttemptOutcome Next =
-      StartFailure
-          ? afterFailure({*StartFailure, Exchange.connected(), RequestSent},
-                         Pick, SentAt)
-          : co_await receive(Exchange, Pick, SentAt);
+  if (StartFailure) {
+    countBytes(Exchange, Pick);
+    co_return afterFailure({*StartFailure, Exchange.connected(), RequestSent},
+                           Pick, SentAt);
+  }
+  AttemptOutcome Next = co_await receive(Exchange, Pick, SentAt);
+  countBytes(Exchange, Pick);
+  co_return Next;
+}
+
+void RequestFlow::countBytes(const WorkerExchange &Exchange,
+                             const WorkerPick &Pick) {
   State.Network.countWorker(Pick.Worker,
                             Exchange.bytesSent() + Exchange.bytesReceived());
-  co_return Next;
 }
 
 asio::awaitable<RequestFlow::AttemptOutcome>
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -87,6 +87,8 @@
   boost::asio::awaitable<AttemptOutcome>
   deliverOrRetry(BufferedAnswer Answer, const coordination::WorkerPick &Pick,
                  Instant SentAt);
+  void countBytes(const transport::WorkerExchange &Exchange,
+                  const coordination::WorkerPick &Pick);
   //! How an attempt without a usable answer failed.
   struct AttemptFailure {
     coordination::AttemptEnd End = coordination::AttemptEnd::ConnectFailed;
