--- a/tests/gateway/gateway_daemon.tests.cpp
+++ b/tests/gateway/gateway_daemon.tests.cpp
@@ -1,3 +1,4 @@
+#include "common/eventually.hpp"
 #include "common/raw_caller.hpp"
 #include "gateway/gateway_fixture.hpp"
 
@@ -29,17 +30,6 @@
   return {Value.data(), Value.size()};
 }
 
-template <class Check> bool eventually(Check IsTrue) {
-  const auto Limit =
-      std::chrono::steady_clock::now() + std::chrono::seconds(20);
-  while (std::chrono::steady_clock::now() < Limit) {
-    if (IsTrue())
-      return true;
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-  return false;
-}
-
 struct OddRow {
   std::string Key;
   std::string Value;
--- a/tests/gateway/planned_stop.tests.cpp
+++ b/tests/gateway/planned_stop.tests.cpp
@@ -1,4 +1,5 @@
 // A planned stop under load, as callers at the sockets see it.
+#include "common/eventually.hpp"
 #include "common/raw_caller.hpp"
 #include "gateway_fixture.hpp"
 
@@ -6,7 +7,6 @@
 
 #include <atomic>
 #include <chrono>
-#include <functional>
 #include <future>
 #include <string>
 #include <thread>
@@ -25,15 +25,6 @@
          "\r\n\r\n";
 }
 
-bool eventually(const std::function<bool()> &Holds) {
-  for (int I = 0; I < 1000; ++I) {
-    if (Holds())
-      return true;
-    std::this_thread::sleep_for(10ms);
-  }
-  return false;
-}
-
 } // namespace
 
 // Guards against connections that are reset because they wait at the listening
