Let a small region take back its excess of objects slowly

Each object that returns is served cold at first: 3 to 5 % of the answers of visayas were slow, against 1.5 % in luzon.

Above the region's share of the fleet's capacity, objects return at a tenth of the pace, unless the other regions are full. What was shed below it returns as before.

Measured: "a region takes back more than its share of the capacity slowly" fails with a gain of 0.25 in 20 s on the code before.

--- a/src/masticgap/coordination/region_share/region_share.cpp
+++ b/src/masticgap/coordination/region_share/region_share.cpp
@@ -20,8 +20,8 @@
 
 } // namespace
 
-double
-RegionShare::initialShare(const std::vector<RegionCapacity> &Capacities) const {
+double RegionShare::capacityShare(
+    const std::vector<RegionCapacity> &Capacities) const {
   double Slots = 0;
   double Hosts = 0;
   double LocalSlots = 0;
@@ -58,7 +58,7 @@
   if (!LocalHasWorkers)
     return;
   if (!UpdatedAt) {
-    Share = initialShare(Capacities);
+    Share = capacityShare(Capacities);
     UpdatedAt = Now;
     return;
   }
@@ -72,8 +72,12 @@
       OtherLoad < Local->Utilization - 0.15)
     Share = std::max(0.0, Share - Step);
   else if (Local->Utilization < Limits.ReturnBelow ||
-           OtherLoad > Local->Utilization)
-    Share = std::min(1.0, Share + Step / 2);
+           OtherLoad > Local->Utilization) {
+    const bool InExcess =
+        Share >= capacityShare(Capacities) && OtherLoad <= Limits.ShedAbove;
+    Share = std::min(
+        1.0, Share + (InExcess ? Step * Limits.ExcessReturnPace : Step / 2));
+  }
 }
 
 std::optional<RegionName> RegionShare::regionOf(std::uint64_t Object) const {
--- a/src/masticgap/coordination/region_share/region_share.hpp
+++ b/src/masticgap/coordination/region_share/region_share.hpp
@@ -30,6 +30,10 @@
   //! it takes load back.
   double ShedAbove = 0.85;
   double ReturnBelow = 0.55;
+  //! Pace at which the local region takes back more than its share of the
+  //! fleet's capacity, relative to StepPerSecond. Each object that moves is
+  //! served slowly at first, and the other regions have capacity for it.
+  double ExcessReturnPace = 0.1;
 };
 
 //! Share of a service's requests that is served in the local region.
@@ -55,7 +59,9 @@
   double ownShare() const { return Share; }
 
 private:
-  double initialShare(const std::vector<RegionCapacity> &Capacities) const;
+  //! Returns the share of the local demand for which the local region has its
+  //! part of the fleet's capacity.
+  double capacityShare(const std::vector<RegionCapacity> &Capacities) const;
 
   RegionName LocalRegion;
   RegionShareLimits Limits;
--- a/tests/coordination/region_share/region_share.tests.cpp
+++ b/tests/coordination/region_share/region_share.tests.cpp
@@ -107,6 +107,36 @@
   CHECK(Share.ownShare() == doctest::Approx(1));
 }
 
+// Guards against a small region that calls back its objects all the time: each
+// of them is served slowly at first, and gains nothing while the other regions
+// have capacity.
+TEST_CASE("a region takes back more than its share of the capacity slowly") {
+  struct Case {
+    const char *Name;
+    double OtherUtilization;
+    double MaxGain; //!< Of the share within 20 s.
+    double MinGain;
+  };
+  const Case Cases[] = {
+      {"others have capacity", 0.2, 0.06, 0.01},
+      {"others are a bit busier", 0.5, 0.06, 0.01},
+      {"others are full", 1.2, 1, 0.2},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    RegionShare Share(LocalRegion);
+    const std::vector<RegionCapacity> Capacities{
+        capacity(LocalRegion, 10, 0.3),
+        capacity(RemoteRegion, 30, C.OtherUtilization)};
+    Share.update(Capacities, Start);
+    const double Initial = Share.ownShare();
+    for (int Tick = 1; Tick <= 40; ++Tick)
+      Share.update(Capacities, Start + Tick * 500ms);
+    CHECK(Share.ownShare() - Initial <= C.MaxGain);
+    CHECK(Share.ownShare() - Initial >= C.MinGain);
+  }
+}
+
 TEST_CASE("repeated queries for an object return the same region") {
   RegionShare Share(LocalRegion);
   Share.update(
