Test start times of registrations and the counter of bytes

The start of an incarnation stays that of its first registration, whatever the clocks; the registration's start time is decoded; the bytes of a request are exported.

--- a/tests/coordination/fleet/worker_directory.tests.cpp
+++ b/tests/coordination/fleet/worker_directory.tests.cpp
@@ -133,3 +133,27 @@
   Directory.recordMisdirected(WorkerId("w"), Incarnation{4});
   CHECK(exclusionOf(Directory, Start) == WorkerExclusion::Gone);
 }
+
+// Guards against an incarnation that appears to have started anew whenever its
+// registration is written.
+TEST_CASE("the start of an incarnation is that of its first registration") {
+  struct Case {
+    const char *Name;
+    Incarnation Run;
+    Duration Age;
+    Instant Expected;
+  };
+  const Case Cases[] = {
+      {"written again", Incarnation{1}, 40s, Start - 30s},
+      {"another incarnation", Incarnation{2}, 2s, Start + 8s},
+      {"a clock that is behind", Incarnation{2}, -5s, Start + 10s},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    WorkerDirectory Directory;
+    Directory.recordRegistration(registration("w", 1), Start, 30s);
+    Directory.recordRegistration(registration("w", C.Run.Value), Start + 10s,
+                                 C.Age);
+    CHECK(Directory.find(WorkerId("w"))->StartedAt == C.Expected);
+  }
+}
--- a/tests/gateway/gateway_daemon.tests.cpp
+++ b/tests/gateway/gateway_daemon.tests.cpp
@@ -598,6 +598,7 @@
        {"masticgap_requests_total{kind=\"answered\"} 1",
         "masticgap_requests_total{kind=\"no_route\"} 1",
         "masticgap_config_version 7",
+        "masticgap_network_bytes_total{kind=\"requests_domain\"}",
         "masticgap_latency_seconds_count{stage=\"whole\",route=\"safe\"} 1"})
     CHECK(Text->body().find(Line) != std::string::npos);
 }
--- a/tests/platform/rows.tests.cpp
+++ b/tests/platform/rows.tests.cpp
@@ -48,6 +48,7 @@
   CHECK_FALSE(Registration.Worker.Leaving);
   CHECK(Registration.Worker.Run == Incarnation{1700000000000});
   CHECK(Registration.ColdDuration == 1500ms);
+  CHECK(Registration.StartTime == 1700000000000ms);
 }
 
 // Guards against rows of other writers that crash a host or register workers.
