Pass on a definite removal as definite without the store

A host that the store does not answer passed on a removal that it had as definite as a possible lapse, and the host that caught up with it used the worker for two more seconds.

A follower keeps up to which version removals are definite and passes them on as such.

--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -129,7 +129,17 @@
                   });
 }
 
+void StoreSync::recordDefiniteRemovals(TableFeed &Feed,
+                                       std::span<const RowChange> Changes) {
+  for (const RowChange &Change : Changes)
+    if (Change.Removed)
+      Feed.Follower.recordDefiniteRemovals(Change.Row.Version);
+}
+
 void StoreSync::applyUpdate(TableFeed &Feed, const PeerUpdate &Update) {
+  // Also those that are known already, maybe as possible lapses.
+  if (!Update.IsSnapshot && !Update.RemovalsMayBeLapses)
+    recordDefiniteRemovals(Feed, Update.Changes);
   if (!Update.IsSnapshot)
     return apply(
         Feed,
@@ -167,11 +177,13 @@
     return std::nullopt;
   PeerUpdate Update;
   Update.Version = Table.version();
-  Update.RemovalsMayBeLapses = Feed.Follower.removalsMayBeLapses(State.now());
   if (auto Changes = Table.changesSince(Query.AfterVersion)) {
     Update.Changes = std::move(*Changes);
+    Update.RemovalsMayBeLapses =
+        Feed.Follower.passedOnMayBeLapses(Update.Changes, State.now());
     return Update;
   }
+  Update.RemovalsMayBeLapses = Feed.Follower.removalsMayBeLapses(State.now());
   Update.IsSnapshot = true;
   for (TableRow &Row : Table.snapshot().Rows)
     Update.Changes.push_back({std::move(Row), false});
@@ -216,6 +228,8 @@
   // available to it.
   if (Source == "peer" && !RemovalsMayBeLapses && !Changes.empty())
     Feed.Follower.recordPeerChanges(State.now());
+  if (!RemovalsMayBeLapses)
+    recordDefiniteRemovals(Feed, Changes);
   RemovedWorkers.clear();
   for (const RowChange &Change : Changes) {
     Feed.NewestChangeVersion =
@@ -384,12 +398,15 @@
         if (!Result)
           return;
         State.Stats.count("caught_up_with_peer", tableName(Feed.Table));
-        const auto Changes = Result->Changes;
-        if (Result->IsSnapshot)
+        if (Result->IsSnapshot) {
           applyUpdate(Feed, *Result);
-        else
-          apply(Feed, Feed.Follower.onPeerChanges(Changes, Result->Version),
+        } else {
+          if (!Result->RemovalsMayBeLapses)
+            recordDefiniteRemovals(Feed, Result->Changes);
+          apply(Feed,
+                Feed.Follower.onPeerChanges(Result->Changes, Result->Version),
                 "peer", Result->RemovalsMayBeLapses);
+        }
         // The peer's announced version may be that of a removal, which a
         // snapshot does not contain.
         Feed.NewestChangeVersion =
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <span>
 
 namespace masticgap::gateway {
 
@@ -76,6 +77,11 @@
   void awaitReader(TableFeed &Feed, const coordination::AwaitChanges &Call,
                    const EntryHostDescriptor &Reader);
   void readStore(TableFeed &Feed);
+  //! Records that removals from the store or from a peer that it serves are no
+  //! lapses.
+  static void
+  recordDefiniteRemovals(TableFeed &Feed,
+                         std::span<const coordination::RowChange> Changes);
   void applyUpdate(TableFeed &Feed, const PeerUpdate &Update);
   void onStoreFailure(TableFeed &Feed, coordination::StoreFailure Failure);
   void onStoreChanges(TableFeed &Feed,
--- a/src/masticgap/coordination/replica/table_follower.cpp
+++ b/src/masticgap/coordination/replica/table_follower.cpp
@@ -86,6 +86,17 @@
   return !OthersServed;
 }
 
+bool TableFollower::passedOnMayBeLapses(std::span<const RowChange> Changes,
+                                        Instant Now) const {
+  std::uint64_t NewestRemoval = 0;
+  for (const RowChange &Change : Changes)
+    if (Change.Removed)
+      NewestRemoval = std::max(NewestRemoval, Change.Row.Version);
+  const bool AllDefinite =
+      NewestRemoval > 0 && NewestRemoval <= DefiniteVersion;
+  return !AllDefinite && removalsMayBeLapses(Now);
+}
+
 std::vector<RowChange>
 TableFollower::onPeerChanges(std::span<const RowChange> Changes,
                              std::uint64_t Version) {
--- a/src/masticgap/coordination/replica/table_follower.hpp
+++ b/src/masticgap/coordination/replica/table_follower.hpp
@@ -3,6 +3,7 @@
 #include "masticgap/coordination/replica/replicated_table.hpp"
 #include "masticgap/state/time.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -81,6 +82,17 @@
   //! again only recently, and no peer got new changes from the store in the
   //! meantime.
   bool removalsMayBeLapses(Instant Now) const;
+  //! Records that the removals up to a version are no lapses: they came from
+  //! the store or a peer that it serves.
+  void recordDefiniteRemovals(std::uint64_t Version) {
+    DefiniteVersion = std::max(DefiniteVersion, Version);
+  }
+  //! Returns whether removals that this host passes on to a peer may be lapses.
+  //! What was definite when it came stays so, also if the store does not answer
+  //! this host.
+  //! \param Changes for the peer.
+  bool passedOnMayBeLapses(std::span<const RowChange> Changes,
+                           Instant Now) const;
 
 private:
   void answered(Instant Now);
@@ -96,6 +108,7 @@
   Instant FailingSince; //!< Start of the current or last series of failures.
   Instant Reconnected;  //!< When an answer ended that series.
   std::optional<Instant> LastPeerChanges;
+  std::uint64_t DefiniteVersion = 0; //!< Removals up to it are no lapses.
 };
 
 } // namespace masticgap::coordination
--- a/tests/coordination/replica/table_follower.tests.cpp
+++ b/tests/coordination/replica/table_follower.tests.cpp
@@ -121,6 +121,42 @@
   }
 }
 
+// Guards against a worker that is used for two seconds after it left, because a
+// host that the store does not answer passes on a removal as a possible lapse
+// although it was definite when it came.
+TEST_CASE(
+    "a definite removal is passed on as definite by a host without store") {
+  struct Case {
+    const char *Name;
+    std::vector<RowChange> Changes; //!< Passed on.
+    std::uint64_t DefiniteVersion;  //!< 0: none was definite.
+    bool Connected;
+    bool Expected;
+  };
+  const RowChange Written{{"b", "1", 13}, false};
+  const RowChange Removed{{"a", {}, 12}, true};
+  const RowChange RemovedLater{{"c", {}, 14}, true};
+  const Case Cases[] = {
+      {"definite", {Removed}, 12, false, false},
+      {"definite, with other changes", {Removed, Written}, 12, false, false},
+      {"not definite", {Removed}, 0, false, true},
+      {"a later one is not definite", {Removed, RemovedLater}, 12, false, true},
+      {"no removal", {Written}, 12, false, true},
+      {"connected", {RemovedLater}, 0, true, false},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    TableFollower Follower = loaded(Start);
+    if (!C.Connected)
+      Follower.failed(StoreFailure::Unavailable, Start + 4s);
+    Follower.onPeerChanges(C.Changes, 14);
+    if (C.DefiniteVersion > 0)
+      Follower.recordDefiniteRemovals(C.DefiniteVersion);
+    CHECK(Follower.passedOnMayBeLapses(C.Changes, Start + 4500ms) ==
+          C.Expected);
+  }
+}
+
 TEST_CASE("a peer's snapshot is applied only if it is not older") {
   TableFollower Follower = loaded(Start);
   CHECK(Follower.onPeerSnapshot({{{"a", "0", 3}}, 9}).empty());
