--- a/tests/coordination/joining/join_schedule.tests.cpp
+++ b/tests/coordination/joining/join_schedule.tests.cpp
@@ -99,7 +99,8 @@
 TEST_CASE("an object that was taken over stays") {
   for (int Object = 0; Object < 200; ++Object) {
     bool Before = false;
-    for (double Share = 0; Share <= 1; Share += 0.05) {
+    for (int Step = 0; Step < 20; ++Step) {
+      const double Share = Step / 20.0;
       const bool TakenOver =
           isTakenOver(hash(1), static_cast<std::uint64_t>(Object) << 40, Share);
       CHECK(TakenOver >= Before);
