See that a caller leaves behind requests that it has sent ahead

The watch reads up to 16 KB ahead. What it reads is the beginning of the next requests, as before.

Measured: "a caller that pipelines and leaves ends its request" fails without the change if the caller resets the connection.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -27,6 +27,8 @@
 //! Maximum number of unread request bytes that are discarded before closing.
 constexpr std::size_t MaxSkippedBytes = 1024 * 1024;
 constexpr std::chrono::seconds SkipTimeout{2};
+//! Maximum size of pipelined requests that are read while one is served.
+constexpr std::size_t MaxReadAheadBytes = 16 * 1024;
 
 ReadFailure classify(beast::error_code Error) {
   if (Error == http::error::body_limit || Error == http::error::header_limit)
@@ -215,15 +217,22 @@
 }
 
 void CallerConnection::onReadable() {
-  const auto Read = peek();
-  // Bytes of a pipelined request show that the caller is connected. Another
-  // wait would return immediately while they are unread, so watching ends.
-  if (Read > 0)
-    return;
-  if (Read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-    return armWatch();
-  const auto Gone = std::exchange(OnGone, {});
-  Gone();
+  // Bytes of pipelined requests hide the end of the connection, so they are
+  // read ahead. Watching ends when the limit is reached: another wait would
+  // return immediately while bytes are unread.
+  while (Buffer.size() < MaxReadAheadBytes) {
+    const auto Space = Buffer.prepare(MaxReadAheadBytes - Buffer.size());
+    const auto Read = ::recv(Stream.socket().native_handle(), Space.data(),
+                             Space.size(), MSG_DONTWAIT);
+    if (Read > 0) {
+      Buffer.commit(static_cast<std::size_t>(Read));
+      continue;
+    }
+    if (Read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      return armWatch();
+    const auto Gone = std::exchange(OnGone, {});
+    return Gone();
+  }
 }
 
 bool CallerConnection::isReusable() const {
--- a/tests/gateway/pipelining.tests.cpp
+++ b/tests/gateway/pipelining.tests.cpp
@@ -1,4 +1,5 @@
 // Requests that callers send before earlier ones are answered.
+#include "common/eventually.hpp"
 #include "common/raw_caller.hpp"
 #include "gateway_fixture.hpp"
 
@@ -142,6 +143,45 @@
   }
 }
 
+// Guards against workers that go on for a caller that left, because the bytes
+// of its next requests hide the end of the connection.
+TEST_CASE("a caller that pipelines and leaves ends its request") {
+  for (const bool Resets : {false, true}) {
+    CAPTURE(Resets);
+    ScriptedWorker Worker([](std::size_t, const SeenRequest &) {
+      return std::string(ScriptedWorker::Silent);
+    });
+    GatewayFixture F;
+    F.putWorker("w1", Worker.endpoint());
+    F.putConfig(1);
+    F.start();
+    F.awaitReady();
+    asio::io_context Io;
+    asio::ip::tcp::socket Caller(Io);
+    Caller.connect({asio::ip::make_address(F.settings().Traffic.Address),
+                    F.settings().Traffic.Port});
+    asio::write(Caller, asio::buffer(request("/safe/1", "id-1")));
+    CHECK(eventually([&] { return Worker.seen().size() == 1; }));
+    asio::write(Caller, asio::buffer(request("/safe/2", "id-2")));
+    std::this_thread::sleep_for(100ms);
+    if (Resets)
+      Caller.set_option(asio::socket_base::linger(true, 0));
+    Caller.close();
+    CHECK(eventually([&] {
+      const auto Text = F.get(
+          {F.settings().Traffic.Address, F.settings().MetricsPort}, "/metrics");
+      return Text && Text->body().find("unanswered_total") != std::string::npos;
+    }));
+    const auto Metrics = F.get(
+        {F.settings().Traffic.Address, F.settings().MetricsPort}, "/metrics");
+    REQUIRE(Metrics);
+    CHECK(Metrics->body().find("kind=\"caller_left\"} 1") != std::string::npos);
+    // The request did not go on until its deadline.
+    CHECK(Metrics->body().find("timed_out") == std::string::npos);
+    CHECK(Worker.seen().size() == 1);
+  }
+}
+
 // Guards against memory for requests that a caller sends without reading the
 // answers: the gateway has to stop reading.
 TEST_CASE("a caller that pipelines without reading is not read further") {
