Log the size of a configuration and the time to decode it

The log could not tell whether a host is late because the configuration was under way for long or because it took long to decode. Adds bytes and decode_ms to config_adopted.

--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -264,6 +264,7 @@
     State.Log.write(LogClass::Decision, "evacuation_ended",
                     {{"row", Key}, {"version", Change.Row.Version}});
   } else {
+    const Instant DecodeStart = State.now();
     const auto Decoded = Platform.Rows.Operator(Change.Row);
     if (const auto *Problem = std::get_if<Error>(&Decoded)) {
       State.Log.write(LogClass::Decision, "row_unreadable",
@@ -282,6 +283,10 @@
           LogClass::Decision, "config_adopted",
           {{"version", (*NewConfig)->Version},
            {"routes", static_cast<std::uint64_t>((*NewConfig)->Routes.size())},
+           {"bytes", static_cast<std::uint64_t>(Change.Row.Value.size())},
+           {"decode_ms",
+            std::chrono::duration<double, std::milli>(State.now() - DecodeStart)
+                .count()},
            {"source", std::string(Source)}});
       return;
     }
