End the time for lapsed registrations after the store's return

A reader that lost the store waits up to 10 s in its first call after the return, so the first answer is the next change. The time in which removals may be lapses began with that answer, and a removed worker was used for 2 s more from when each host learned of it.

A follower now calls without a wait until the store has answered again, and the grace period ends 2 s after the noticed return, on all hosts: peers pass on what is left of it. This also makes readers sources of their domains again up to 10 s sooner. Hosts of earlier versions understand the answer, and theirs is read as 2 s. The positions of the flags in the test of malformed answers move with the new field.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -28,8 +28,8 @@
 namespace http = boost::beast::http;
 
 template <class Archive> void save(Archive &Ar, const PeerUpdate &Update) {
-  Ar(Update.Changes, Update.Version, Update.IsSnapshot,
-     Update.RemovalsMayBeLapses);
+  const auto GraceMs = static_cast<std::uint32_t>(Update.LapseGrace.count());
+  Ar(Update.Changes, Update.Version, Update.IsSnapshot, GraceMs > 0, GraceMs);
 }
 
 namespace {
@@ -76,13 +76,23 @@
   return Change;
 }
 
-PeerUpdate loadUpdate(Input &Ar) {
+//! Grace period of a host that states only that there is one, as hosts of
+//! earlier versions do.
+constexpr std::chrono::seconds UnstatedGrace{2};
+
+PeerUpdate loadUpdate(Input &Ar, std::istream &Stream) {
   PeerUpdate Update;
   for (std::uint64_t Rest = loadSize(Ar); Rest > 0; --Rest)
     Update.Changes.push_back(loadChange(Ar));
   Ar(Update.Version);
   Update.IsSnapshot = loadFlag(Ar);
-  Update.RemovalsMayBeLapses = loadFlag(Ar);
+  if (loadFlag(Ar))
+    Update.LapseGrace = UnstatedGrace;
+  if (Stream.peek() == std::istream::traits_type::eof())
+    return Update;
+  std::uint32_t GraceMs = 0;
+  Ar(GraceMs);
+  Update.LapseGrace = std::chrono::milliseconds(GraceMs);
   return Update;
 }
 
@@ -171,7 +181,7 @@
   std::istringstream Stream{std::string(Bytes)};
   try {
     Input Archive(Stream);
-    return loadUpdate(Archive);
+    return loadUpdate(Archive, Stream);
   } catch (const std::exception &) {
     // cereal reports truncated or malformed input only by exceptions.
     return std::nullopt;
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -24,9 +24,9 @@
   std::vector<coordination::RowChange> Changes;
   std::uint64_t Version = 0;
   bool IsSnapshot = false; //!< Changes are all rows of the table.
-  //! The peer has no connection to the store, or reconnected only recently, so
-  //! removals may be lapsed registrations.
-  bool RemovalsMayBeLapses = false;
+  //! Time for which removals may be lapsed registrations; zero if they are
+  //! definite.
+  std::chrono::milliseconds LapseGrace{0};
 };
 
 //! Encodes an update for a peer (cereal portable binary).
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -16,6 +16,10 @@
 //! peer is queried only if it is still ahead after this time.
 constexpr std::chrono::milliseconds PeerDelay{250};
 
+std::chrono::milliseconds milliseconds(Duration Time) {
+  return std::chrono::ceil<std::chrono::milliseconds>(Time);
+}
+
 const char *tableName(StoreTable Table) {
   return Table == StoreTable::Operator ? "operator" : "workers";
 }
@@ -129,28 +133,31 @@
                   });
 }
 
-void StoreSync::recordDefiniteRemovals(TableFeed &Feed,
-                                       std::span<const RowChange> Changes) {
+void StoreSync::recordRemovals(TableFeed &Feed,
+                               std::span<const RowChange> Changes,
+                               Duration LapseGrace) {
   for (const RowChange &Change : Changes)
-    if (Change.Removed)
+    if (Change.Removed && LapseGrace > Duration(0))
+      Feed.Follower.recordPossibleLapses(State.now() + LapseGrace);
+    else if (Change.Removed)
       Feed.Follower.recordDefiniteRemovals(Change.Row.Version);
 }
 
 void StoreSync::applyUpdate(TableFeed &Feed, const PeerUpdate &Update) {
   // Also those that are known already, maybe as possible lapses.
-  if (!Update.IsSnapshot && !Update.RemovalsMayBeLapses)
-    recordDefiniteRemovals(Feed, Update.Changes);
+  if (!Update.IsSnapshot && Update.LapseGrace == Duration(0))
+    recordRemovals(Feed, Update.Changes, Update.LapseGrace);
   if (!Update.IsSnapshot)
     return apply(
         Feed,
         Feed.Follower.onChanges(Update.Changes, Update.Version, State.now()),
-        "peer", Update.RemovalsMayBeLapses);
+        "peer", Update.LapseGrace);
   TableSnapshot Snapshot;
   Snapshot.Version = Update.Version;
   for (const RowChange &Change : Update.Changes)
     Snapshot.Rows.push_back(Change.Row);
   apply(Feed, Feed.Follower.onPeerSnapshot(Snapshot), "peer",
-        Update.RemovalsMayBeLapses);
+        Update.LapseGrace);
 }
 
 void StoreSync::membersChanged() {
@@ -179,11 +186,11 @@
   Update.Version = Table.version();
   if (auto Changes = Table.changesSince(Query.AfterVersion)) {
     Update.Changes = std::move(*Changes);
-    Update.RemovalsMayBeLapses =
-        Feed.Follower.passedOnMayBeLapses(Update.Changes, State.now());
+    Update.LapseGrace =
+        milliseconds(Feed.Follower.passedOnGrace(Update.Changes, State.now()));
     return Update;
   }
-  Update.RemovalsMayBeLapses = Feed.Follower.removalsMayBeLapses(State.now());
+  Update.LapseGrace = milliseconds(Feed.Follower.lapseGrace(State.now()));
   Update.IsSnapshot = true;
   for (TableRow &Row : Table.snapshot().Rows)
     Update.Changes.push_back({std::move(Row), false});
@@ -218,18 +225,17 @@
                     {{"table", tableName(Feed.Table)},
                      {"version", Feed.Follower.table().version()}});
   }
-  apply(Feed, Changes, "store", Feed.Follower.removalsMayBeLapses(State.now()));
+  apply(Feed, Changes, "store", Feed.Follower.lapseGrace(State.now()));
   startNextCall(Feed);
 }
 
 void StoreSync::apply(TableFeed &Feed, const std::vector<RowChange> &Changes,
-                      std::string_view Source, bool RemovalsMayBeLapses) {
+                      std::string_view Source, Duration LapseGrace) {
   // A peer with a stable connection to the store sent changes, so the store is
   // available to it.
-  if (Source == "peer" && !RemovalsMayBeLapses && !Changes.empty())
+  if (Source == "peer" && LapseGrace == Duration(0) && !Changes.empty())
     Feed.Follower.recordPeerChanges(State.now());
-  if (!RemovalsMayBeLapses)
-    recordDefiniteRemovals(Feed, Changes);
+  recordRemovals(Feed, Changes, LapseGrace);
   RemovedWorkers.clear();
   for (const RowChange &Change : Changes) {
     Feed.NewestChangeVersion =
@@ -243,11 +249,12 @@
     for (const WorkerId &Id : RemovedWorkers)
       State.Log.write(LogClass::Decision, "worker_unregistered",
                       {{"worker", Id.value()},
-                       {"lapse", RemovalsMayBeLapses},
+                       {"lapse", LapseGrace > Duration(0)},
+                       {"grace_ms", milliseconds(LapseGrace).count()},
                        {"source", std::string(Source)},
                        {"version", Feed.Follower.table().version()}});
-    State.Dispatch.directory().recordRemovals(RemovedWorkers,
-                                              RemovalsMayBeLapses, State.now());
+    State.Dispatch.directory().recordRemovals(RemovedWorkers, LapseGrace,
+                                              State.now());
   }
   if (Changes.empty())
     return;
@@ -406,11 +413,11 @@
         if (Result->IsSnapshot) {
           applyUpdate(Feed, *Result);
         } else {
-          if (!Result->RemovalsMayBeLapses)
-            recordDefiniteRemovals(Feed, Result->Changes);
+          if (Result->LapseGrace == Duration(0))
+            recordRemovals(Feed, Result->Changes, Result->LapseGrace);
           apply(Feed,
                 Feed.Follower.onPeerChanges(Result->Changes, Result->Version),
-                "peer", Result->RemovalsMayBeLapses);
+                "peer", Result->LapseGrace);
         }
         // The peer's announced version may be that of a removal, which a
         // snapshot does not contain.
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -77,18 +77,17 @@
   void awaitReader(TableFeed &Feed, const coordination::AwaitChanges &Call,
                    const EntryHostDescriptor &Reader);
   void readStore(TableFeed &Feed);
-  //! Records that removals from the store or from a peer that it serves are no
-  //! lapses.
-  static void
-  recordDefiniteRemovals(TableFeed &Feed,
-                         std::span<const coordination::RowChange> Changes);
+  //! Records whether removals are definite, so that they are passed on as such.
+  void recordRemovals(TableFeed &Feed,
+                      std::span<const coordination::RowChange> Changes,
+                      Duration LapseGrace);
   void applyUpdate(TableFeed &Feed, const PeerUpdate &Update);
   void onStoreFailure(TableFeed &Feed, coordination::StoreFailure Failure);
   void onStoreChanges(TableFeed &Feed,
                       const std::vector<coordination::RowChange> &Changes);
   void apply(TableFeed &Feed,
              const std::vector<coordination::RowChange> &Changes,
-             std::string_view Source, bool RemovalsMayBeLapses);
+             std::string_view Source, Duration LapseGrace);
   void applyOperator(const coordination::RowChange &Change,
                      std::string_view Source);
   void applyWorker(const coordination::RowChange &Change);
--- a/src/masticgap/coordination/fleet/worker_directory.cpp
+++ b/src/masticgap/coordination/fleet/worker_directory.cpp
@@ -44,17 +44,17 @@
 }
 
 void WorkerDirectory::recordRemovals(const std::vector<WorkerId> &Ids,
-                                     bool AfterOutage, Instant Now) {
+                                     Duration LapseGrace, Instant Now) {
   const bool IsMassRemoval = Ids.size() >= MassRemovalMinCount &&
                              Ids.size() * MassRemovalDivisor >= Workers.size();
+  const Duration Grace = std::max(
+      LapseGrace, IsMassRemoval ? Timing.MassRemovalGrace : Duration(0));
   for (const WorkerId &Id : Ids) {
     const auto WorkerIt = Workers.find(Id);
     if (WorkerIt == Workers.end())
       continue;
     KnownWorker &State = WorkerIt->second;
-    if ((AfterOutage || IsMassRemoval) && !State.Worker.Leaving) {
-      const Duration Grace =
-          AfterOutage ? Timing.LapseGrace : Timing.MassRemovalGrace;
+    if (Grace > Duration(0) && !State.Worker.Leaving) {
       if (!State.LapsedUntil)
         State.LapsedUntil = Now + Grace;
       continue;
--- a/src/masticgap/coordination/fleet/worker_directory.hpp
+++ b/src/masticgap/coordination/fleet/worker_directory.hpp
@@ -45,9 +45,6 @@
 
 //! Limits of WorkerDirectory.
 struct DirectoryTiming {
-  //! Time after the store returns within which a live worker renews a
-  //! registration that lapsed in the outage.
-  Duration LapseGrace = std::chrono::seconds(2);
   //! Grace period if many registrations are removed at once without a known
   //! outage.
   Duration MassRemovalGrace = std::chrono::milliseconds(1400);
@@ -70,9 +67,9 @@
                           Duration Age = Duration(0));
 
   //! Records removed registrations.
-  //! \param AfterOutage whether the registrations may have lapsed in an outage
-  //! of the store.
-  void recordRemovals(const std::vector<WorkerId> &Ids, bool AfterOutage,
+  //! \param LapseGrace time for which the workers are used in case their
+  //! registrations lapsed in an outage of the store; zero if they did not.
+  void recordRemovals(const std::vector<WorkerId> &Ids, Duration LapseGrace,
                       Instant Now);
 
   //! Removes a worker whose registration cannot be read.
--- a/src/masticgap/coordination/replica/table_follower.cpp
+++ b/src/masticgap/coordination/replica/table_follower.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-//! Time after the store returns within which lapsed registrations are renewed.
+//! Time after the store returns within which live workers renew lapsed
+//! registrations.
 constexpr Duration LapseWindow = std::chrono::seconds(2);
 //! Changes from before an outage reach a host through peers within this time.
 constexpr Duration PeerDelay = std::chrono::seconds(1);
@@ -20,6 +21,10 @@
     return WaitUntil{NotBefore};
   if (MustRead || !Copy.isLoaded())
     return ReadTable{};
+  // Without a wait, the return of the store is noticed at the next call and not
+  // with the next change.
+  if (Failures > 0)
+    return AwaitChanges{Copy.version(), Duration(0)};
   // Keeps the calls of different hosts from synchronizing.
   std::uniform_real_distribution<double> Jitter(0.7, 1.0);
   const auto MaxWait =
@@ -76,25 +81,28 @@
   ++Failures;
 }
 
-bool TableFollower::removalsMayBeLapses(Instant Now) const {
+Duration TableFollower::lapseGrace(Instant Now) const {
   const bool IsBack = isConnected();
-  if (IsBack && (Reconnected == Instant() || Now - Reconnected >= LapseWindow))
-    return false;
+  const Instant WindowEnd = (IsBack ? Reconnected : Now) + LapseWindow;
+  if (IsBack && (Reconnected == Instant() || Now >= WindowEnd))
+    return Duration(0);
   const bool OthersServed = LastPeerChanges &&
                             *LastPeerChanges - FailingSince > PeerDelay &&
                             Now - *LastPeerChanges < PeerChangesLifetime;
-  return !OthersServed;
+  return OthersServed ? Duration(0) : WindowEnd - Now;
 }
 
-bool TableFollower::passedOnMayBeLapses(std::span<const RowChange> Changes,
-                                        Instant Now) const {
+Duration TableFollower::passedOnGrace(std::span<const RowChange> Changes,
+                                      Instant Now) const {
   std::uint64_t NewestRemoval = 0;
   for (const RowChange &Change : Changes)
     if (Change.Removed)
       NewestRemoval = std::max(NewestRemoval, Change.Row.Version);
-  const bool AllDefinite =
-      NewestRemoval > 0 && NewestRemoval <= DefiniteVersion;
-  return !AllDefinite && removalsMayBeLapses(Now);
+  if (NewestRemoval == 0 || (NewestRemoval > DefiniteVersion && !LapsesEnd))
+    return lapseGrace(Now);
+  if (NewestRemoval <= DefiniteVersion)
+    return Duration(0);
+  return std::max(*LapsesEnd - Now, Duration(0));
 }
 
 std::vector<RowChange>
--- a/src/masticgap/coordination/replica/table_follower.hpp
+++ b/src/masticgap/coordination/replica/table_follower.hpp
@@ -77,22 +77,25 @@
   bool isConnected() const { return Failures == 0 && AnsweredOnce; }
   //! Records that a peer sent new changes that it got from the store.
   void recordPeerChanges(Instant Now) { LastPeerChanges = Now; }
-  //! Returns whether removals may be registrations that lapsed while the store
-  //! was unavailable: the store does not answer this host, or has answered it
-  //! again only recently, and no peer got new changes from the store in the
-  //! meantime.
-  bool removalsMayBeLapses(Instant Now) const;
+  //! Returns for how long a registration whose removal arrives now from the
+  //! store may still be renewed, because it may have lapsed while the store was
+  //! unavailable. Zero if the removal is definite: the store has answered this
+  //! host for some time, or a peer got new changes from it in the meantime.
+  Duration lapseGrace(Instant Now) const;
   //! Records that the removals up to a version are no lapses: they came from
   //! the store or a peer that it serves.
   void recordDefiniteRemovals(std::uint64_t Version) {
     DefiniteVersion = std::max(DefiniteVersion, Version);
   }
-  //! Returns whether removals that this host passes on to a peer may be lapses.
-  //! What was definite when it came stays so, also if the store does not answer
-  //! this host.
+  //! Records that removals that arrived may be lapses until the given time.
+  void recordPossibleLapses(Instant Until) {
+    LapsesEnd = std::max(LapsesEnd.value_or(Until), Until);
+  }
+  //! Returns lapseGrace() for removals that this host passes on to a peer. What
+  //! was definite when it came stays so, also if the store does not answer this
+  //! host, and a grace period does not start again.
   //! \param Changes for the peer.
-  bool passedOnMayBeLapses(std::span<const RowChange> Changes,
-                           Instant Now) const;
+  Duration passedOnGrace(std::span<const RowChange> Changes, Instant Now) const;
 
 private:
   void answered(Instant Now);
@@ -109,6 +112,7 @@
   Instant Reconnected;  //!< When an answer ended that series.
   std::optional<Instant> LastPeerChanges;
   std::uint64_t DefiniteVersion = 0; //!< Removals up to it are no lapses.
+  std::optional<Instant> LapsesEnd;  //!< For the removals that may be lapses.
 };
 
 } // namespace masticgap::coordination
--- a/tests/coordination/dispatch/dispatcher.tests.cpp
+++ b/tests/coordination/dispatch/dispatcher.tests.cpp
@@ -111,7 +111,8 @@
       {"near workers removed",
        [](Fixture &F) {
          for (const char *Id : {"n0", "n1", "n2", "n3"})
-           F.Dispatch.directory().recordRemovals({WorkerId(Id)}, false, Start);
+           F.Dispatch.directory().recordRemovals({WorkerId(Id)}, Duration(0),
+                                                 Start);
        },
        "f"},
   };
--- a/tests/coordination/fleet/worker_directory.tests.cpp
+++ b/tests/coordination/fleet/worker_directory.tests.cpp
@@ -69,17 +69,18 @@
   struct Case {
     const char *Name;
     std::size_t Removed; //!< Of 8 workers.
-    bool AfterOutage;
+    Duration LapseGrace;
     bool RenewedAfter1s;
     bool UsedAt1s;
     bool UsedAt3s;
   };
   const Case Cases[] = {
-      {"removal without an outage", 1, false, false, false, false},
-      {"lapse", 1, true, false, true, false},
-      {"lapse that is renewed", 1, true, true, true, true},
-      {"many at once without a known outage", 6, false, false, true, false},
-      {"many at once that are renewed", 6, false, true, true, true},
+      {"removal without an outage", 1, 0s, false, false, false},
+      {"lapse", 1, 2s, false, true, false},
+      {"lapse at the end of the grace period", 1, 500ms, false, false, false},
+      {"lapse that is renewed", 1, 2s, true, true, true},
+      {"many at once without a known outage", 6, 0s, false, true, false},
+      {"many at once that are renewed", 6, 0s, true, true, true},
   };
   for (const auto &C : Cases) {
     CAPTURE(C.Name);
@@ -91,7 +92,7 @@
     std::vector<WorkerId> Ids{WorkerId("w")};
     for (std::size_t I = 1; I < C.Removed; ++I)
       Ids.emplace_back("x" + std::to_string(I));
-    Directory.recordRemovals(Ids, C.AfterOutage, Start);
+    Directory.recordRemovals(Ids, C.LapseGrace, Start);
     const Instant Later = Start + 1s;
     Directory.expire(Later);
     CHECK((exclusionOf(Directory, Later) == WorkerExclusion::None) ==
@@ -108,7 +109,7 @@
     "a leaving worker has no grace period when its registration is removed") {
   WorkerDirectory Directory;
   Directory.recordRegistration(registration("w", 1, true), Start);
-  Directory.recordRemovals({WorkerId("w")}, true, Start);
+  Directory.recordRemovals({WorkerId("w")}, 2s, Start);
   CHECK(exclusionOf(Directory, Start) == WorkerExclusion::Gone);
 }
 
--- a/tests/coordination/replica/table_follower.tests.cpp
+++ b/tests/coordination/replica/table_follower.tests.cpp
@@ -95,29 +95,29 @@
     Duration CheckedAfter;                    //!< After the outage began.
     std::optional<Duration> PeerChangesAfter; //!< After the outage began.
     std::optional<Duration> ReconnectedAfter; //!< After the outage began.
-    bool Expected;
+    Duration Expected;
   };
   const Case Cases[] = {
-      {"during the outage", 5s, std::nullopt, std::nullopt, true},
-      {"just after the return", 6s, std::nullopt, 5s, true},
-      {"long after the return", 8s, std::nullopt, 5s, false},
-      {"a peer got changes during the outage", 6s, 4s, 5s, false},
-      {"a peer got changes from before the outage", 6s, 500ms, 5s, true},
+      {"during the outage", 5s, std::nullopt, std::nullopt, 2s},
+      {"just after the return", 6s, std::nullopt, 5s, 1s},
+      {"long after the return", 8s, std::nullopt, 5s, 0s},
+      {"a peer got changes during the outage", 6s, 4s, 5s, 0s},
+      {"a peer got changes from before the outage", 6s, 500ms, 5s, 1s},
       {"a peer gets changes while the outage continues", 5s, 3s, std::nullopt,
-       false},
-      {"a peer got changes long ago", 12s, 3s, 11s, true},
+       0s},
+      {"a peer got changes long ago", 12s, 3s, 11s, 1s},
   };
   for (const auto &C : Cases) {
     CAPTURE(C.Name);
     TableFollower Follower = loaded(Start);
-    CHECK_FALSE(Follower.removalsMayBeLapses(Start));
+    CHECK(Follower.lapseGrace(Start) == 0s);
     Follower.failed(StoreFailure::Unavailable, Start);
     Follower.failed(StoreFailure::Unavailable, Start + 1s);
     if (C.PeerChangesAfter)
       Follower.recordPeerChanges(Start + *C.PeerChangesAfter);
     if (C.ReconnectedAfter)
       Follower.onChanges({}, 10, Start + *C.ReconnectedAfter);
-    CHECK(Follower.removalsMayBeLapses(Start + C.CheckedAfter) == C.Expected);
+    CHECK(Follower.lapseGrace(Start + C.CheckedAfter) == C.Expected);
   }
 }
 
@@ -131,18 +131,18 @@
     std::vector<RowChange> Changes; //!< Passed on.
     std::uint64_t DefiniteVersion;  //!< 0: none was definite.
     bool Connected;
-    bool Expected;
+    Duration Expected;
   };
   const RowChange Written{{"b", "1", 13}, false};
   const RowChange Removed{{"a", {}, 12}, true};
   const RowChange RemovedLater{{"c", {}, 14}, true};
   const Case Cases[] = {
-      {"definite", {Removed}, 12, false, false},
-      {"definite, with other changes", {Removed, Written}, 12, false, false},
-      {"not definite", {Removed}, 0, false, true},
-      {"a later one is not definite", {Removed, RemovedLater}, 12, false, true},
-      {"no removal", {Written}, 12, false, true},
-      {"connected", {RemovedLater}, 0, true, false},
+      {"definite", {Removed}, 12, false, 0s},
+      {"definite, with other changes", {Removed, Written}, 12, false, 0s},
+      {"not definite", {Removed}, 0, false, 2s},
+      {"a later one is not definite", {Removed, RemovedLater}, 12, false, 2s},
+      {"no removal", {Written}, 12, false, 2s},
+      {"connected", {RemovedLater}, 0, true, 0s},
   };
   for (const Case &C : Cases) {
     CAPTURE(C.Name);
@@ -152,11 +152,76 @@
     Follower.onPeerChanges(C.Changes, 14);
     if (C.DefiniteVersion > 0)
       Follower.recordDefiniteRemovals(C.DefiniteVersion);
-    CHECK(Follower.passedOnMayBeLapses(C.Changes, Start + 4500ms) ==
-          C.Expected);
+    CHECK(Follower.passedOnGrace(C.Changes, Start + 4500ms) == C.Expected);
   }
 }
 
+// Guards against a grace period that each host starts again.
+TEST_CASE("a possible lapse is passed on with the rest of its grace period") {
+  struct Case {
+    Duration After; //!< Since the removal arrived with a grace period of 1.5 s.
+    Duration Expected;
+  };
+  for (const Case &C : {Case{0s, 1500ms}, Case{1s, 500ms}, Case{2s, 0s}}) {
+    CAPTURE(C.After.count());
+    TableFollower Follower = loaded(Start);
+    const RowChange Removed{{"a", {}, 12}, true};
+    Follower.onPeerChanges({{Removed}}, 12);
+    Follower.recordPossibleLapses(Start + 1500ms);
+    CHECK(Follower.passedOnGrace({{Removed}}, Start + C.After) == C.Expected);
+  }
+}
+
+// Guards against a worker that the whole fleet uses after it left, because the
+// readers notice the return of the store only with the removal.
+TEST_CASE("a removal long after the store's return is definite") {
+  constexpr Duration Outage = 4s;
+  constexpr Duration NoticedWithin = FollowerTiming().MaxBackoff;
+  struct Case {
+    const char *Name;
+    Duration RemovedAfter; //!< After the store's return.
+    //! Use of the worker ends this long after the store's return.
+    Duration MinEnd;
+    Duration MaxEnd;
+  };
+  const Case Cases[] = {
+      {"in the outage", -1s, 2s, 2s + NoticedWithin},
+      {"just after the return", 1s, 1s, 2s + NoticedWithin},
+      {"soon after the return", 4500ms, 4500ms, 4500ms},
+      {"long after the return", 8s, 8s, 8s},
+  };
+  for (const Case &C : Cases)
+    for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      CAPTURE(C.Name);
+      CAPTURE(Seed);
+      TableFollower Follower({}, Seed);
+      Follower.onTableRead({{{"w", "1", 7}}, 10}, Start);
+      const Instant Return = Start + 1s + Outage;
+      const Instant Removed = Return + C.RemovedAfter;
+      const std::vector<RowChange> Removal{{{"w", {}, 12}, true}};
+      // The store refuses calls in the outage and cuts those that wait.
+      Follower.failed(StoreFailure::Unavailable, Start + 1s);
+      Instant Now = Start + 1s;
+      while (Follower.table().version() < 12) {
+        const FollowerCall Call = Follower.nextCall(Now);
+        if (const auto *Until = std::get_if<WaitUntil>(&Call)) {
+          Now = Until->Time;
+        } else if (Now < Return) {
+          Follower.failed(StoreFailure::Unavailable, Now);
+        } else {
+          const Instant WaitEnd = Now + std::get<AwaitChanges>(Call).MaxWait;
+          const bool Seen = Removed <= WaitEnd;
+          Now = Seen ? std::max(Now, Removed) : WaitEnd;
+          Follower.onChanges(Seen ? Removal : std::vector<RowChange>(),
+                             Seen ? 12 : 10, Now);
+        }
+      }
+      const Duration End = Now + Follower.lapseGrace(Now) - Return;
+      CHECK(End >= C.MinEnd);
+      CHECK(End <= std::max(C.MaxEnd, Now - Return));
+    }
+}
+
 TEST_CASE("a peer's snapshot is applied only if it is not older") {
   TableFollower Follower = loaded(Start);
   CHECK(Follower.onPeerSnapshot({{{"a", "0", 3}}, 9}).empty());
--- a/tests/gateway/peer_exchange.tests.cpp
+++ b/tests/gateway/peer_exchange.tests.cpp
@@ -29,7 +29,7 @@
 //! within its functions, so the test decides which events share a turn.
 struct QueriedHost {
   asio::io_context Io{1};
-  PeerUpdate Update{{}, 1, false, false};
+  PeerUpdate Update{{}, 1, false, {}};
   std::unique_ptr<PeerExchange> Exchange = std::make_unique<PeerExchange>(
       Io, Endpoint{"127.0.0.1", 0}, [this](const PeerUpdateQuery &Query) {
         ++Lookups;
@@ -220,14 +220,19 @@
       {{{"w1", std::string(100000, 'v'), 7}, false}, {{"w2", "", 8}, true}},
       9,
       true,
-      false};
+      std::chrono::milliseconds(1500)};
   const std::string Good = encodeUpdate(Update);
   const auto Read = decodeUpdate(Good);
   REQUIRE(Read);
   CHECK(Read->Changes == Update.Changes);
   CHECK(Read->Version == 9);
   CHECK(Read->IsSnapshot);
-  CHECK_FALSE(Read->RemovalsMayBeLapses);
+  CHECK(Read->LapseGrace == Update.LapseGrace);
+  // Hosts of earlier versions state only that there is a grace period.
+  constexpr std::size_t GraceBytes = 4;
+  const auto Unstated = decodeUpdate(Good.substr(0, Good.size() - GraceBytes));
+  REQUIRE(Unstated);
+  CHECK(Unstated->LapseGrace == std::chrono::seconds(2));
 
   // A byte for the byte order, then sizes of eight bytes.
   constexpr std::size_t RowsAt = 1;
@@ -254,7 +259,7 @@
   }
   // The sizes that can be allocated are of 256 MiB and more.
   CHECK(peakKilobytes() - Before < 64 * 1024);
-  for (const std::size_t FromEnd : {1, 2}) {
+  for (const std::size_t FromEnd : {GraceBytes + 1, GraceBytes + 2}) {
     std::string Changed = Good;
     Changed[Changed.size() - FromEnd] = '\x02';
     CHECK_FALSE(decodeUpdate(Changed));
