Count a version as known only when its changes have arrived

A host that caught up with a peer recorded the announced version as known, whatever the peer sent. A peer that had restarted since, without the store, sends an older copy; the host then ignored all others that announced the same version and answered by the older configuration until its own feed worked again, up to 12.5 s.

What a host knows is now told by the version of its copy, which covers removals as well.

--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -364,11 +364,11 @@
 void StoreSync::peerProgressed(const MemberRecord &Peer) {
   if (!Exchange)
     return;
-  if (Peer.ConfigVersion > OperatorFeed.NewestChangeVersion)
+  if (OperatorFeed.Follower.isBehind(Peer.ConfigVersion))
     fetchFrom(OperatorFeed, Peer);
   // The record's Epoch holds the version of the table of workers, see
   // GatewayDaemon::announceProgress().
-  if (Peer.Epoch > WorkerFeed.NewestChangeVersion)
+  if (WorkerFeed.Follower.isBehind(Peer.Epoch))
     fetchFrom(WorkerFeed, Peer);
 }
 
@@ -393,7 +393,7 @@
 
 void StoreSync::catchUp(TableFeed &Feed, std::uint64_t WantedVersion,
                         const Endpoint &Peer) {
-  if (Feed.NewestChangeVersion >= WantedVersion) {
+  if (!Feed.Follower.isBehind(WantedVersion)) {
     Feed.Fetching = false;
     return;
   }
@@ -402,7 +402,7 @@
   Query.AfterVersion = Feed.Follower.table().version();
   Exchange->fetch(
       Peer, Query,
-      [this, &Feed, WantedVersion,
+      [this, &Feed,
        StillAlive = Alive](const std::optional<PeerUpdate> &Result) {
         if (!*StillAlive)
           return;
@@ -419,10 +419,6 @@
                 Feed.Follower.onPeerChanges(Result->Changes, Result->Version),
                 "peer", Result->LapseGrace);
         }
-        // The peer's announced version may be that of a removal, which a
-        // snapshot does not contain.
-        Feed.NewestChangeVersion =
-            std::max(Feed.NewestChangeVersion, WantedVersion);
       });
 }
 
--- a/src/masticgap/coordination/replica/table_follower.hpp
+++ b/src/masticgap/coordination/replica/table_follower.hpp
@@ -73,6 +73,11 @@
   std::vector<RowChange> onPeerSnapshot(const TableSnapshot &Snapshot);
 
   const ReplicatedTable &table() const { return Copy; }
+  //! Returns whether a peer that has a version has changes that this copy
+  //! lacks.
+  bool isBehind(std::uint64_t PeerVersion) const {
+    return PeerVersion > Copy.version();
+  }
   //! Returns whether the last call was answered.
   bool isConnected() const { return Failures == 0 && AnsweredOnce; }
   //! Records that a peer sent new changes that it got from the store.
