--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -115,16 +115,27 @@
         self.changed = asyncio.Condition()
         self.address = new_address()
         self.port = None
-        self.calls = 0
-        # Called with the path, the query and the number of the call. May return a status
-        # with which the call is rejected, or "silent".
-        self.trouble = lambda path, query, call, peer: None
-        self.on_call = lambda path, query, peer: None
+        self.open = set()
+        # Called with the path, the query and the address of the store that was called. May return a
+        # status with which the call is rejected, "silent" or "reset".
+        self.trouble = lambda path, query, address: None
 
     async def start(self):
         server = await asyncio.start_server(self.serve, self.address, 0)
         self.port = server.sockets[0].getsockname()[1]
 
+    async def listen(self):
+        """Opens another address of the store, which shows who calls, and returns it."""
+        address = new_address()
+        await asyncio.start_server(self.serve, address, self.port)
+        return address
+
+    def reset_connections(self, address=None):
+        """Resets the open connections, or those of one address."""
+        for writer in list(self.open):
+            if not address or writer.get_extra_info("sockname")[0] == address:
+                writer.transport.abort()
+
     async def put(self, table, key, value):
         """Writes a row; the return of this call is the acknowledgement."""
         async with self.changed:
@@ -178,16 +189,15 @@
         return body
 
     async def serve(self, reader, writer):
-        peer = writer.get_extra_info("peername")[0]
+        self.open.add(writer)
+        called = writer.get_extra_info("sockname")[0]
         try:
             request = await read_head(reader)
             request.body = await read_body(reader, request)
             parts = urllib.parse.urlsplit(request.first.split()[1])
             query = urllib.parse.parse_qs(parts.query)
-            self.calls += 1
-            self.on_call(parts.path, query, peer)
             status, body = 200, {}
-            trouble = self.trouble(parts.path, query, self.calls, peer)
+            trouble = self.trouble(parts.path, query, called)
             if trouble == "silent":
                 await asyncio.sleep(600)
             elif trouble == "reset":
@@ -210,6 +220,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.open.discard(writer)
             writer.close()
 
 
@@ -310,6 +321,7 @@
         self.zone = zone
         self.zones = zones
         self.store = store
+        self.store_address = None   # address at which this gateway calls the store
         self.address = new_address()
         self.directory = directory
         self.ports = {}
@@ -324,7 +336,7 @@
             "failure_domains": self.zones,
             **{use: f"{self.address}:{port}" for use, port in self.ports.items()},
             "gossip_port": gossip_port, "peer_port": peer_port, "metrics_port": 0,
-            "seeds": seeds, "platform": f"{self.store.address}:{self.store.port}",
+            "seeds": seeds, "platform": f"{self.store_address}:{self.store.port}",
             "grace_period": "6s", "retry_ratio": 0.2, "retry_slack": 139, "retry_window": "10s",
             **self.overrides}
         self.path = self.directory / f"{self.name}.json"
@@ -413,6 +425,7 @@
         for name, zone in self.plan.items():
             self.gateways[name] = Gateway(name, zone, self.zones, self.store, self.directory,
                                           self.overrides)
+            self.gateways[name].store_address = await self.store.listen()
         seeds = [f"{gateway.address}:8649" for gateway in list(self.gateways.values())[:3]]
         for gateway in self.gateways.values():
             gateway.write_settings(seeds, gossip_port, peer_port)
