--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -213,6 +213,8 @@
                     self.history.append(row)
             else:
                 body = await self.answer(parts.path, query)
+                if self.trouble(parts.path, query, called) == "silent":
+                    await asyncio.sleep(600)
             text = json.dumps(body).encode()
             writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                          f"Content-Length: {len(text)}\r\nConnection: close\r\n\r\n".encode() + text)
