Review case 2: shorter pauses between the tries; end processes on SIGTERM

Cause: one run beside other load found no outage in which both gateways reconnected late enough, and a script that was ended left its gateways running.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,8 @@
 OUTAGE_S = 7.9          # at most 8 s
 SERVES_LONGER_S = 0.3   # what a leaving worker serves beyond drain_timeout
 TOLERANCE_S = 0.05      # of this script's own clock readings
-LAST_START_S = 78       # no further outage begins later
+LAST_START_S = 85       # no further outage begins later
+CALM_S = 3.0            # between a try and the next outage
 REQUESTS_PER_S = 40     # at each gateway
 
 
@@ -42,7 +43,7 @@
         while now() - started < OUTAGE_S:
             await asyncio.sleep(0.02)
             # The store returns while the calls of all gateways wait for an answer in vain.
-            if now() - started > 5.9 and min(self.last.values()) > now() - 0.6:
+            if now() - started > 5.9 and min(self.last.values()) > now() - 0.4:
                 break
         self.down = False
         record.line("store is back, after", f"{now() - started:.2f} s")
@@ -76,7 +77,7 @@
     running = [identity for at, identity, *_ in worker.runs if at > now() - worker.work]
     await worker.stop()
     record.line("worker", worker.name, "ends")
-    await asyncio.sleep(1)
+    await asyncio.sleep(0.5)
     late = [(at - acknowledged, identity) for at, identity in worker.arrivals
             if at - acknowledged > DRAIN_TIMEOUT_S + TOLERANCE_S]
     for after, identity in late:
@@ -98,24 +99,25 @@
         clients = [asyncio.create_task(load(d, gateway, results, stop))
                    for gateway in d.gateways.values()]
         await asyncio.sleep(4)
-        late, lost, tries = [], [], 0
+        late, lost, tries, leaver = [], [], 0, None
         while now() < LAST_START_S and not (late and lost):
             tries += 1
-            leaver = await d.add_worker(f"leaver{tries}", "desk", zone="z1", work=0.5, slots=30)
-            await asyncio.sleep(3)
-            back = now()
-            if TROUBLE:
-                back = await outage.run(record)
-            await asyncio.sleep(CONTACT_WINDOW_S + 0.1)
-            if TROUBLE and max(outage.last.values()) > back:
-                record.line("a gateway is connected again; another outage")
-                await asyncio.sleep(4)
+            leaver = leaver or await d.add_worker(f"leaver{tries}", "desk", zone="z1", work=0.5,
+                                                  slots=30)
+            await asyncio.sleep(CALM_S)
+            back = await outage.run(record) if TROUBLE else now()
+            while now() < back + CONTACT_WINDOW_S + 0.02:
+                await asyncio.sleep(0.01)
+                if TROUBLE and max(outage.last.values()) > back:
+                    break
+            else:
+                # The store has been without disruption for contact_window, so it is stable.
+                found = await leave(d, leaver, results, record)
+                late, lost, leaver = late + found[0], lost + found[1], None
+                if not TROUBLE and tries == 2:
+                    break
                 continue
-            # The store has been without disruption for contact_window, so it is stable.
-            found = await leave(d, leaver, results, record)
-            late, lost = late + found[0], lost + found[1]
-            if not TROUBLE and tries == 2:
-                break
+            record.line("a gateway is connected again; another outage")
         stop.set()
         await asyncio.gather(*clients)
         served = sum(1 for status in results.values() if status == 200)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -24,6 +25,8 @@
 PROGRAM = "target/bin/masticgap-gateway"
 HOST = "callers.example"
 START = time.monotonic()
+# Ends the script in order, so that it ends the processes that it started.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 _blocks = itertools.count(random.Random().randrange(1, 200))
 
 
