--- a/review/2/case.py
+++ b/review/2/case.py
@@ -100,7 +100,7 @@
         clients = [asyncio.create_task(load(d, gateway, results, stop))
                    for gateway in d.gateways.values()]
         await asyncio.sleep(4)
-        late, lost, tries, leaver = [], [], 0, None
+        late, lost, tries, removals, leaver = [], [], 0, 0, None
         while now() < LAST_START_S and not (late and lost):
             tries += 1
             leaver = leaver or await d.add_worker(f"leaver{tries}", "desk", zone="z1", work=0.5,
@@ -113,6 +113,7 @@
                     break
             else:
                 # The store has been without disruption for contact_window, so it is stable.
+                removals += 1
                 found = await leave(d, leaver, results, record)
                 late, lost, leaver = late + found[0], lost + found[1], None
                 if not TROUBLE and tries == 2:
@@ -121,13 +122,15 @@
             record.line("a gateway is connected again; another outage")
         stop.set()
         await asyncio.gather(*clients)
+        if removals == 0:
+            raise RuntimeError("a gateway reconnected early each time; the case cannot run")
         served = sum(1 for status in results.values() if status == 200)
         if served < len(results) / 2:
             raise RuntimeError("the gateways did not serve; the case cannot run")
         return deployment.finish(
             record, bool(late), f"{len(late)} requests reached a worker over drain_timeout after its "
             f"removal, up to {max([after for after, _ in late], default=0):.2f} s; {len(lost)} were "
-            f"lost as it ended; {tries} tries")
+            f"lost as it ended; {removals} removals in {tries} tries")
 
 
 try:
