Quarantine a crashing request whoever sends it

Callers saw workers end one after the other: copies of a request were passed on long after it had crashed its third worker.

Cause: the fingerprint of a request contained the caller's address, but copies come from many addresses.

The fingerprint now covers method, host, target and body. Only an answer below 500 ends a quarantine. A lost connection also counts as a death if the worker's registration is replaced or removed, or another incarnation answers at its address, within 6 s. Since many callers share a fingerprint, deaths with copies in flight at the same time count once, and one host of the fleet tries a quarantined request after 3, 15, 63 s and so on, so that a harmless one is served again.

--- a/src/gateway/crash_detector.hpp
+++ b/src/gateway/crash_detector.hpp
@@ -10,15 +10,19 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <deque>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace masticgap::gateway {
 
 //! A request whose connection to a worker ended before the answer.
 struct LostRequest {
   std::string Id;
+  std::string Caller; //!< Its address, for the log.
   coordination::Fingerprint RequestFingerprint;
   Instant SentAt;
 };
@@ -41,6 +45,14 @@
   //! the request is suspected of having crashed it.
   void connectionLost(const coordination::WorkerPick &Pick, LostRequest Lost,
                       std::chrono::milliseconds ConnectTimeout);
+  //! Records that a worker's incarnation has ended without leaving: its
+  //! registration was removed or another incarnation uses its id or address.
+  //! Requests that it lost shortly before are suspected. A worker that starts
+  //! again within milliseconds accepts connections, so this is the only sign.
+  //! \param Newest incarnation that is known now; older ones have ended. Unset
+  //! if none of them is left.
+  void workerEnded(const WorkerId &Worker, std::optional<Incarnation> Newest,
+                   Instant Now);
   //! Applies a suspicion or a quarantine that another host reported.
   void onRumor(const coordination::Rumor &What, Instant Now);
   //! Records that a worker answered the request, which clears the suspicion.
@@ -53,8 +65,26 @@
                      Instant Now) const {
     return Quarantine.isQuarantined(RequestFingerprint, Now);
   }
+  //! Returns whether a quarantined request is to be sent as a trial; see
+  //! CrashQuarantine::takeTrial().
+  bool takeTrial(coordination::Fingerprint RequestFingerprint, Instant Now);
+  //! Returns the time until the next trial of a quarantined request.
+  Duration untilTrial(coordination::Fingerprint RequestFingerprint,
+                      Instant Now) const {
+    return Quarantine.untilTrial(RequestFingerprint, Now);
+  }
 
 private:
+  //! Request that was lost while its worker still accepts connections.
+  struct UnexplainedLoss {
+    WorkerId Worker;
+    Incarnation Run;
+    LostRequest Lost;
+    Instant At;
+  };
+
+  void recordDeath(const WorkerId &Worker, Incarnation Run,
+                   const LostRequest &Lost, std::string_view Sign, Instant Now);
   boost::asio::awaitable<void>
   checkWorker(coordination::WorkerPick Pick, LostRequest Lost,
               std::chrono::milliseconds ConnectTimeout);
@@ -69,6 +99,7 @@
   DecisionLog &Log;
   Metrics &Stats;
   coordination::CrashQuarantine Quarantine;
+  std::deque<UnexplainedLoss> Unexplained; //!< Oldest first.
   RumorSender SendRumor;
 };
 
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -109,6 +109,13 @@
   co_return Next;
 }
 
+void RequestFlow::recordHarmless(unsigned Status) {
+  // A worker also answers 500 or 504 to a request that it did not finish, so
+  // only other answers show that the request does not crash workers.
+  if (Status < 500)
+    State.Crashes.recordSuccess(RequestFingerprint, State.now());
+}
+
 void RequestFlow::recordLeaving(const WorkerDescriptor &Worker) {
   if (!State.Dispatch.directory().recordLeaving(Worker.Id, Worker.Run))
     return;
@@ -143,7 +150,8 @@
   if (Answer.Complete)
     co_return co_await deliverOrRetry(std::move(Answer), Pick, SentAt);
   AttemptOutcome Next = co_await streamAnswer(Exchange, Answer);
-  State.Crashes.recordSuccess(RequestFingerprint, State.now());
+  if (std::holds_alternative<Delivered>(Next))
+    recordHarmless(Answer.Head.result_int());
   State.Dispatch.recordResult(Pick,
                               std::holds_alternative<Delivered>(Next)
                                   ? WorkerVerdict::Answered
@@ -215,7 +223,7 @@
   const unsigned Status = Answer.Head.result_int();
   const Instant Now = State.now();
   const bool Failed = Status >= 500;
-  State.Crashes.recordSuccess(RequestFingerprint, Now);
+  recordHarmless(Status);
   State.Dispatch.recordResult(
       Pick, Failed ? WorkerVerdict::Failed : WorkerVerdict::Answered,
       Now - SentAt, Now);
@@ -277,6 +285,7 @@
     return afterRefusal(Pick, "worker_full");
   case AttemptEnd::RefusedLeaving:
     RecordVerdict(WorkerVerdict::Misdirected);
+    State.Crashes.workerEnded(Pick.Worker.Id, std::nullopt, Now);
     return afterRefusal(Pick, "worker_gone");
   case AttemptEnd::ConnectFailed:
     // A worker with a long queue resets connections that it accepted. Only a
@@ -294,8 +303,9 @@
   default:
     RecordVerdict(WorkerVerdict::Broken);
     if (Failure.RequestSent)
-      State.Crashes.connectionLost(Pick, {Id, RequestFingerprint, SentAt},
-                                   State.Settings.ConnectTimeout);
+      State.Crashes.connectionLost(
+          Pick, {Id, Caller.address(), RequestFingerprint, SentAt},
+          State.Settings.ConnectTimeout);
     break;
   }
   MayHaveRun = MayHaveRun || Failure.RequestSent;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -79,8 +79,10 @@
   }
   if (State.StopAt)
     Deadline = std::min(Deadline, *State.StopAt);
-  RequestFingerprint = transport::requestFingerprint(
-      Request.Head, Request.Body, Request.Streamed, Caller.address());
+  // Without the caller's address: a request that crashes workers is sent again
+  // from any address.
+  RequestFingerprint = transport::requestFingerprint(Request.Head, Request.Body,
+                                                     Request.Streamed);
   State.Dispatch.recordArrival(Service, ReceivedAt);
   std::optional<entry::CallerWatch> Watch;
   if (!Request.Streamed)
@@ -157,10 +159,14 @@
   if (Deadline - Now < MinWorkTime)
     co_return MayHaveRun ? lostAnswer(AttemptEnd::TimedOut)
                          : unavailable("no_time", Duration(0));
-  if (State.Crashes.isQuarantined(RequestFingerprint, Now)) {
+  const bool IsTrial =
+      Tried.empty() && State.Crashes.takeTrial(RequestFingerprint, Now);
+  if (!IsTrial && State.Crashes.isQuarantined(RequestFingerprint, Now)) {
     logRejection("quarantined", {}, Now);
-    co_return MayHaveRun ? lostAnswer(AttemptEnd::ConnectionLost)
-                         : unavailable("quarantined", Duration(0));
+    co_return MayHaveRun
+        ? lostAnswer(AttemptEnd::ConnectionLost)
+        : unavailable("quarantined",
+                      State.Crashes.untilTrial(RequestFingerprint, Now));
   }
   const DispatchDecision Decision =
       State.Dispatch.choose(dispatchRequest(), Now);
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -89,6 +89,9 @@
   boost::asio::awaitable<AttemptOutcome>
   deliverOrRetry(BufferedAnswer Answer, const coordination::WorkerPick &Pick,
                  Instant SentAt);
+  //! Records that a worker answered with this status, which may show that the
+  //! request does not crash workers.
+  void recordHarmless(unsigned Status);
   //! Records that a worker announced its leaving in an answer.
   void recordLeaving(const WorkerDescriptor &Worker);
   void countBytes(const transport::WorkerExchange &Exchange,
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -263,13 +263,16 @@
       applyWorker(Change);
   }
   if (!RemovedWorkers.empty()) {
-    for (const WorkerId &Id : RemovedWorkers)
+    for (const WorkerId &Id : RemovedWorkers) {
+      if (LapseGrace == Duration(0))
+        State.Crashes.workerEnded(Id, std::nullopt, State.now());
       State.Log.write(LogClass::Decision, "worker_unregistered",
                       {{"worker", Id.value()},
                        {"lapse", LapseGrace > Duration(0)},
                        {"grace_ms", milliseconds(LapseGrace).count()},
                        {"source", std::string(Source)},
                        {"version", Feed.Follower.table().version()}});
+    }
     State.Dispatch.directory().recordRemovals(RemovedWorkers, LapseGrace,
                                               State.now());
   }
@@ -357,6 +360,8 @@
           : Duration(0);
   const bool Accepted = State.Dispatch.directory().recordRegistration(
       Registration, State.now(), Age);
+  if (Accepted)
+    State.Crashes.workerEnded(Id, Registration.Worker.Run, State.now());
   State.Log.write(LogClass::Decision, "worker_registered",
                   {{"worker", Id.value()},
                    {"service", Registration.Worker.Service.value()},
--- a/src/masticgap/coordination/crash_quarantine.cpp
+++ b/src/masticgap/coordination/crash_quarantine.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-CrashQuarantine::CrashQuarantine(QuarantineLimits Bounds) : Limits(Bounds) {}
+CrashQuarantine::CrashQuarantine(QuarantinePolicy Rules) : Policy(Rules) {}
 
 QuarantineAction
 CrashQuarantine::workerDied(const WorkerId &Worker, Incarnation Run,
@@ -62,8 +62,7 @@
     Record &Entry = record(Quarantined->Request, Now);
     if (Entry.Quarantined || Now < Entry.IgnoreRumorsUntil)
       return {};
-    Entry.Quarantined = true;
-    Entry.Expires = Now + QuarantineTime;
+    quarantine(Entry, Now);
   }
   if (const auto *Cleared = std::get_if<RequestCleared>(&R)) {
     Record &Entry = record(Cleared->Request, Now);
@@ -105,6 +104,7 @@
   R.Deaths.clear();
   R.SpreadUntil.reset();
   R.Quarantined = false;
+  R.NextTrial.reset();
   R.IgnoreRumorsUntil = Now + StaleRumorTime;
   R.Expires = R.IgnoreRumorsUntil;
 }
@@ -160,8 +160,8 @@
     const Instant Expires = std::max(R.Expires, EntryExpires);
     for (const WorkerDeath &Death : Entry.Deaths)
       addDeath(R, Death, SentUnknown, Now);
-    if (Entry.Quarantined && Now >= R.IgnoreRumorsUntil)
-      R.Quarantined = true;
+    if (Entry.Quarantined && Now >= R.IgnoreRumorsUntil && !R.Quarantined)
+      quarantine(R, Now);
     R.Expires = Expires;
   }
 }
@@ -197,7 +197,7 @@
 // the death. It was then sent to a later incarnation, whose number the host
 // list does not contain yet.
 void CrashQuarantine::addDeath(Record &R, const WorkerDeath &Death,
-                               Instant Sent, Instant Now) {
+                               Instant Sent, Instant Now) const {
   if (R.Quarantined)
     return;
   const auto KnownIt = findDeath(R.Deaths, Death);
@@ -208,19 +208,50 @@
   const bool WasCleared = ClearedIt != R.Cleared.end();
   if (WasCleared && Sent <= ClearedIt->Learned)
     return;
+  const bool IsConcurrent = std::ranges::any_of(
+      R.Deaths, [&](const KnownDeath &K) { return Sent <= K.Learned; });
+  if (!Policy.CountConcurrentDeaths && Sent != SentUnknown && IsConcurrent)
+    return;
   if (WasCleared)
     R.Cleared.erase(ClearedIt);
   R.Deaths.push_back({Death, Now});
   R.Expires = Now + QuarantineTime;
-  R.Quarantined = R.Deaths.size() >= DeathsToQuarantine;
+  if (R.Deaths.size() >= DeathsToQuarantine)
+    quarantine(R, Now);
+}
+
+void CrashQuarantine::quarantine(Record &R, Instant Now) const {
+  R.Quarantined = true;
+  R.Expires = Now + QuarantineTime;
+  R.TrialInterval = Policy.FirstTrial.value_or(Duration(0));
+  if (Policy.FirstTrial)
+    R.NextTrial = Now + R.TrialInterval;
+}
+
+bool CrashQuarantine::takeTrial(Fingerprint Request, Instant Now) {
+  const auto RecordIt = Records.find(Request);
+  if (RecordIt == Records.end() || !isQuarantined(Request, Now))
+    return false;
+  Record &R = RecordIt->second;
+  if (!R.NextTrial || Now < *R.NextTrial)
+    return false;
+  R.TrialInterval *= Policy.TrialFactor;
+  R.NextTrial = Now + R.TrialInterval;
+  return true;
+}
+
+Duration CrashQuarantine::untilTrial(Fingerprint Request, Instant Now) const {
+  const Record *R = find(Request, Now);
+  return R && R->NextTrial ? std::max(Duration(0), *R->NextTrial - Now)
+                           : Duration(0);
 }
 
 void CrashQuarantine::evictIfFull(Instant Now) {
-  if (Records.size() < Limits.MaxRequests)
+  if (Records.size() < Policy.MaxRequests)
     return;
   std::erase_if(Records,
                 [Now](const auto &Item) { return Now >= Item.second.Expires; });
-  if (Records.size() < Limits.MaxRequests)
+  if (Records.size() < Policy.MaxRequests)
     return;
   // Evicts suspects before quarantined requests, and older records first.
   const auto Oldest = std::min_element(
--- a/src/masticgap/coordination/crash_quarantine.hpp
+++ b/src/masticgap/coordination/crash_quarantine.hpp
@@ -26,9 +26,19 @@
 //! ignored.
 inline constexpr Duration StaleRumorTime = std::chrono::seconds(30);
 
-//! Limits of the number of records.
-struct QuarantineLimits {
-  std::size_t MaxRequests = 4096;
+//! Rules of a quarantine.
+struct QuarantinePolicy {
+  std::size_t MaxRequests = 4096; //!< Maximum number of records.
+  //! Whether deaths with the request in flight on several workers at the same
+  //! time count separately. If the fingerprint is shared by many callers, they
+  //! count as one: a failure of many workers hits many copies of a harmless
+  //! request at once, but only a request that crashes workers is also lost when
+  //! it is sent again.
+  bool CountConcurrentDeaths = true;
+  //! Time from the beginning of a quarantine to the first trial; no trials if
+  //! unset. Each further interval is TrialFactor times as long.
+  std::optional<Duration> FirstTrial = std::nullopt;
+  int TrialFactor = 4;
 };
 
 //! Incarnation of a worker that died with a request in flight.
@@ -75,7 +85,7 @@
 //! Quarantines a request that crashes workers, after it crashed two of them.
 class CrashQuarantine {
 public:
-  explicit CrashQuarantine(QuarantineLimits Bounds = {});
+  explicit CrashQuarantine(QuarantinePolicy Rules = {});
 
   //! Records that a worker's process died, or that its connection broke before
   //! the answer.
@@ -122,6 +132,16 @@
   bool isSpreading(Fingerprint Request, Instant Now) const;
 
   bool isQuarantined(Fingerprint Request, Instant Now) const;
+
+  //! Takes the trial of a quarantined request if one is due: one copy may be
+  //! sent, so that a harmless request does not stay quarantined. One host of
+  //! the fleet is to call this for a request; its success or the death of the
+  //! worker is spread as for other requests.
+  //! \returns whether the request may be sent once.
+  bool takeTrial(Fingerprint Request, Instant Now);
+  //! Returns the time until the next trial; zero if none is scheduled.
+  Duration untilTrial(Fingerprint Request, Instant Now) const;
+
   bool isSuspect(Fingerprint Request, Instant Now) const;
 
   //! Returns all records that have not expired. A host that is new or was
@@ -145,6 +165,8 @@
     Instant Expires;
     Instant IgnoreRumorsUntil;
     std::optional<Instant> SpreadUntil;
+    std::optional<Instant> NextTrial;
+    Duration TrialInterval{0};
     bool Quarantined = false;
   };
 
@@ -153,11 +175,13 @@
   static std::vector<KnownDeath>::iterator
   findDeath(std::vector<KnownDeath> &Deaths, const WorkerDeath &Death);
   static void clear(Record &R, Instant Now);
-  void addDeath(Record &R, const WorkerDeath &Death, Instant Sent, Instant Now);
+  void addDeath(Record &R, const WorkerDeath &Death, Instant Sent,
+                Instant Now) const;
+  void quarantine(Record &R, Instant Now) const;
   //! Removes a record if the limit is reached.
   void evictIfFull(Instant Now);
 
-  QuarantineLimits Limits;
+  QuarantinePolicy Policy;
   std::unordered_map<Fingerprint, Record> Records;
 };
 
--- a/src/masticgap/coordination/dispatch/dispatcher.cpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "masticgap/coordination/dispatch/dispatcher.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -422,6 +424,19 @@
   return serviceState(Service, Now).Retries.tryWithdraw(Hosts.size(), Now);
 }
 
+bool Dispatcher::isTrialHostOf(Fingerprint Request) const {
+  const auto Weight = [&](const RegionName &Region) {
+    return mixHashes(Request.Value,
+                     XXH3_64bits(Region.value().data(), Region.value().size()));
+  };
+  const std::uint64_t OwnWeight = Weight(Settings.Region);
+  const bool IsTrialRegion =
+      std::ranges::none_of(LiveHosts, [&](const auto &Entry) {
+        return Entry.second > 0 && Weight(Entry.first) > OwnWeight;
+      });
+  return IsTrialRegion && isTrialHost(Request.Value, Settings.Self, LocalHosts);
+}
+
 const WorkerRecord *Dispatcher::record(const WorkerId &Worker) const {
   const auto RecordIt = Records.find(Worker);
   return RecordIt == Records.end() ? nullptr : &RecordIt->second;
--- a/src/masticgap/coordination/dispatch/dispatcher.hpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.hpp
@@ -3,6 +3,7 @@
 #include "masticgap/coordination/admission/admission_policy.hpp"
 #include "masticgap/coordination/affinity/affinity_choice.hpp"
 #include "masticgap/coordination/affinity/worker_record.hpp"
+#include "masticgap/coordination/fingerprint.hpp"
 #include "masticgap/coordination/fleet/worker_directory.hpp"
 #include "masticgap/coordination/fleet_budget/cold_start_limiter.hpp"
 #include "masticgap/coordination/fleet_budget/fleet_retry_budget.hpp"
@@ -116,6 +117,10 @@
   //! \returns false if the retry must not be sent.
   bool tryRetry(const ServiceName &Service, Instant Now);
 
+  //! Returns whether this host is the one of the fleet that tries a quarantined
+  //! request. Hosts that know the same live hosts choose the same one.
+  bool isTrialHostOf(Fingerprint Request) const;
+
   WorkerDirectory &directory() { return Directory; }
   const WorkerDirectory &directory() const { return Directory; }
   const WorkerRecord *record(const WorkerId &Worker) const;
--- a/src/masticgap/transport/request_fingerprint.cpp
+++ b/src/masticgap/transport/request_fingerprint.cpp
@@ -24,6 +24,8 @@
   // to the same text.
   std::string Fields(view(Head.method_string()));
   Fields += '\n';
+  Fields += view(Head[http::field::host]);
+  Fields += '\n';
   Fields += view(Head.target());
   Fields += '\n';
   if (Streamed)
--- a/tests/coordination/crash_quarantine.tests.cpp
+++ b/tests/coordination/crash_quarantine.tests.cpp
@@ -210,6 +210,39 @@
   CHECK(Second.isSuspect(Bad, T0));
 }
 
+// Guards against a harmless request that many callers send: a failure of many
+// workers at once must not quarantine it, and a quarantine must not last for
+// its full time; and against a request that crashes a worker at each trial.
+TEST_CASE("concurrent deaths count once, and trials become rare") {
+  CrashQuarantine Shared(
+      {.CountConcurrentDeaths = false, .FirstTrial = Duration(3s)});
+  const auto DiedAfterSending = [&](int Worker, Instant Sent, Instant Now) {
+    const InFlightRequest Lost{Bad, Sent};
+    Shared.workerDied(Host::worker(Worker), Incarnation{1}, std::span(&Lost, 1),
+                      Now);
+  };
+  for (int Worker = 0; Worker < 5; ++Worker)
+    DiedAfterSending(Worker, T0 - 1s, T0 + 10ms * Worker);
+  CHECK_FALSE(Shared.isQuarantined(Bad, T0 + 1s));
+  CHECK_FALSE(Shared.takeTrial(Bad, T0 + 1s));
+  DiedAfterSending(6, T0 + 1s, T0 + 2s);
+  CHECK(Shared.isQuarantined(Bad, T0 + 2s));
+  CHECK(Shared.untilTrial(Bad, T0 + 2s) == Duration(3s));
+  struct Step {
+    Duration At; // After the beginning of the quarantine.
+    bool Due;
+  };
+  for (const Step &S : {Step{2999ms, false}, Step{3s, true},
+                        Step{3001ms, false}, Step{14s, false}, Step{15s, true},
+                        Step{62s, false}, Step{63s, true}, Step{64s, false}}) {
+    CAPTURE(S.At.count());
+    CHECK(Shared.takeTrial(Bad, T0 + 2s + S.At) == S.Due);
+  }
+  Shared.recordSuccess(Bad, T0 + 70s);
+  CHECK_FALSE(Shared.isQuarantined(Bad, T0 + 70s));
+  CHECK_FALSE(Shared.takeTrial(Bad, T0 + 400s));
+}
+
 // Guards against unbounded memory use when many workers die, and against a
 // quarantine that is evicted by many suspects.
 TEST_CASE(
