Index workers by service and choose without a sort

Cause: each choice visited the workers of all services, looked up each record by name and sorted all candidates.

Change: WorkerTable keeps the workers of a service as a list with a revision; Dispatcher keeps pointers to workers and records until the revision changes. chooseByAffinity ranks by the few highest weights, as all later ranks cost the same.

--- a/bench/worker_choice.cpp
+++ b/bench/worker_choice.cpp
@@ -2,13 +2,16 @@
 // workers that refuse requests when full. Events run in simulated time, and the
 // seed makes each run reproducible.
 
+#include "masticgap/coordination/dispatch/dispatcher.hpp"
 #include "masticgap/coordination/worker_pool.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <cstdio>
 #include <functional>
 #include <queue>
+#include <string_view>
 
 using namespace masticgap;
 using namespace masticgap::coordination;
@@ -177,9 +180,73 @@
   std::function<ChoicePolicy(unsigned)> Make;
 };
 
+//! Measures one choice of Dispatcher with 10,000 workers, and its tick.
+void measureDispatcher(unsigned Services) {
+  constexpr unsigned Workers = 10'000;
+  constexpr Instant Start(Duration(1h));
+  const RegionName Region("luzon");
+  DispatcherSettings Settings;
+  Settings.Self = HostId("e0");
+  Settings.Region = Region;
+  Settings.DomainRegions = {{FailureDomainName("a"), Region}};
+  Dispatcher Host(Settings, Start);
+  const auto NameOf = [](unsigned Service) {
+    return ServiceName("s" + std::to_string(Service));
+  };
+  for (unsigned W = 0; W < Workers; ++W) {
+    WorkerRegistration Entry;
+    Entry.Worker = {WorkerId("w" + std::to_string(W)),
+                    NameOf(W % Services),
+                    Region,
+                    FailureDomainName("a"),
+                    {"127.0.0.1", 1},
+                    Incarnation{1},
+                    3,
+                    660,
+                    false};
+    Host.directory().recordRegistration(Entry, Start, 1h);
+    Host.recordLoad(Entry.Worker.Id, {W % 4, W % 3, 3}, Start);
+  }
+  constexpr unsigned Choices = 2000;
+  constexpr unsigned Ticks = 10;
+  Instant Now = Start;
+  DispatchRequest Request;
+  Request.LatencyObjective = 1s;
+  unsigned Chosen = 0;
+  const auto Measure = [](unsigned Count, const std::function<void()> &Run) {
+    const auto Before = std::chrono::steady_clock::now();
+    for (unsigned I = 0; I < Count; ++I)
+      Run();
+    const std::chrono::duration<double, std::micro> Passed =
+        std::chrono::steady_clock::now() - Before;
+    return Passed.count() / Count;
+  };
+  std::mt19937_64 Random(42);
+  const auto Choose = [&] {
+    Now += 1ms;
+    Request.Service = NameOf(static_cast<unsigned>(Random() % Services));
+    Request.Object = Random();
+    Request.Deadline = Now + 2s;
+    Chosen += std::holds_alternative<WorkerPick>(Host.choose(Request, Now));
+  };
+  for (unsigned I = 0; I < 10 * Services; ++I)
+    Choose();
+  const double ChoiceTime = Measure(Choices, Choose);
+  const double TickTime = Measure(Ticks, [&] { Host.tick(Now += 500ms); });
+  std::printf("%8u %10.2f %10.2f %8u\n", Services, ChoiceTime, TickTime,
+              Chosen);
+}
+
 } // namespace
 
-int main() {
+//! With the argument "dispatcher", measures only the time of Dispatcher.
+int main(int Count, char **Arguments) {
+  std::printf("Dispatcher with 10,000 workers\n%8s %10s %10s %8s\n", "services",
+              "choice us", "tick us", "chosen");
+  for (const unsigned Services : {1U, 10U, 50U})
+    measureDispatcher(Services);
+  if (Count > 1 && std::string_view(Arguments[1]) == "dispatcher")
+    return 0;
   std::vector<HostId> Hosts;
   for (unsigned I = 0; I < 26; ++I)
     Hosts.emplace_back("e" + std::to_string(I));
--- a/src/masticgap/coordination/affinity/affinity_choice.cpp
+++ b/src/masticgap/coordination/affinity/affinity_choice.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 #include <array>
-#include <numeric>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -31,26 +31,42 @@
 chooseByAffinity(std::span<const AffinityCandidate> Candidates,
                  std::uint64_t Object, Duration TypicalLatency,
                  const AffinityPolicy &Policy) {
-  std::vector<std::pair<std::uint64_t, std::size_t>> Order;
-  Order.reserve(Candidates.size());
-  for (std::size_t I = 0; I < Candidates.size(); ++I)
-    Order.emplace_back(mixHashes(Candidates[I].WorkerHash, Object), I);
-  std::ranges::sort(Order, std::greater<>());
+  // Ranks beyond this one are not distinguished. The rank of a worker is the
+  // number of workers that precede it in the object's order and have taken over
+  // the object, so the first ones are sufficient and nothing is sorted.
+  const std::size_t LastRank =
+      std::max(Policy.PreferredWorkers, Policy.RankedWorkers);
+  std::vector<std::uint64_t> Weights(Candidates.size());
+  std::vector<std::uint64_t> First; // Highest weights, in descending order.
+  First.reserve(LastRank + 1);
+  const auto IsTakenOver = [&](const AffinityCandidate &Candidate) {
+    return isTakenOver(Candidate.WorkerHash, Object, Candidate.TakenOverShare);
+  };
+  for (std::size_t I = 0; I < Candidates.size(); ++I) {
+    Weights[I] = mixHashes(Candidates[I].WorkerHash, Object);
+    if ((First.size() == LastRank &&
+         (First.empty() || Weights[I] <= First.back())) ||
+        !IsTakenOver(Candidates[I]))
+      continue;
+    First.insert(std::ranges::lower_bound(First, Weights[I], std::greater<>()),
+                 Weights[I]);
+    if (First.size() > LastRank)
+      First.pop_back();
+  }
 
   std::optional<AffinityResult> Best;
   double BestCost = 0;
+  std::uint64_t BestWeight = 0;
   const double TypicalNs = static_cast<double>(TypicalLatency.count());
-  std::size_t Joining = 0; // Workers so far that have not taken it over.
-  for (std::size_t Position = 0; Position < Order.size(); ++Position) {
-    const AffinityCandidate &Candidate = Candidates[Order[Position].second];
+  for (std::size_t I = 0; I < Candidates.size(); ++I) {
+    const AffinityCandidate &Candidate = Candidates[I];
     // A worker that has not taken over the object does not displace the others
     // in its order, but is as good as the next one if they are busy.
-    const bool TakenOver =
-        isTakenOver(Candidate.WorkerHash, Object, Candidate.TakenOverShare);
-    const std::size_t Rank =
-        Position - Joining + (TakenOver ? 0 : Policy.PreferredWorkers);
-    if (!TakenOver)
-      ++Joining;
+    std::size_t Rank = 0;
+    while (Rank < First.size() && First[Rank] > Weights[I])
+      ++Rank;
+    if (!IsTakenOver(Candidate))
+      Rank += Policy.PreferredWorkers;
     const double Slots = std::max(1U, Candidate.Slots);
     // The k-th request beyond the slots waits for k completions.
     const double Waiting = std::max(0.0, Candidate.Occupancy + 1 - Slots);
@@ -71,11 +87,14 @@
     const double Cost =
         LatencyNs + PlacementPenalty +
         TypicalNs * Policy.FailurePenalty * Candidate.FailureShare;
-    if (!Best || Cost < BestCost) {
+    // Equally good workers are used in the object's order.
+    if (!Best || Cost < BestCost ||
+        (Cost == BestCost && Weights[I] > BestWeight)) {
       BestCost = Cost;
-      Best = AffinityResult{
-          Order[Position].second, Duration(static_cast<Duration::rep>(WaitNs)),
-          Duration(static_cast<Duration::rep>(LatencyNs)), Rank};
+      BestWeight = Weights[I];
+      Best =
+          AffinityResult{I, Duration(static_cast<Duration::rep>(WaitNs)),
+                         Duration(static_cast<Duration::rep>(LatencyNs)), Rank};
     }
   }
   return Best;
--- a/src/masticgap/coordination/affinity/affinity_choice.hpp
+++ b/src/masticgap/coordination/affinity/affinity_choice.hpp
@@ -47,10 +47,12 @@
 
 //! The worker with the lowest cost: expected latency plus penalties.
 struct AffinityResult {
-  std::size_t Index = 0;        //!< Index into the candidates.
-  Duration QueueWait{0};        //!< Expected time in its queue.
-  Duration ExpectedLatency{0};  //!< Expected time until the answer.
-  std::size_t AffinityRank = 0; //!< In the object's rendezvous order.
+  std::size_t Index = 0;       //!< Index into the candidates.
+  Duration QueueWait{0};       //!< Expected time in its queue.
+  Duration ExpectedLatency{0}; //!< Expected time until the answer.
+  //! In the object's rendezvous order; not exact above
+  //! AffinityPolicy::RankedWorkers.
+  std::size_t AffinityRank = 0;
 };
 
 //! Returns a stable hash of a worker for rendezvous hashing.
--- a/src/masticgap/coordination/affinity/worker_record.cpp
+++ b/src/masticgap/coordination/affinity/worker_record.cpp
@@ -89,12 +89,18 @@
   return WasReachable;
 }
 
+// Most workers have no recent evidence of one kind, and a choice reads all of
+// them, so the decay is not computed for nothing.
 double WorkerRecord::occupancy(Instant Now) const {
+  if (OthersOccupancy == 0)
+    return InFlight;
   return InFlight +
          OthersOccupancy * decay(Now - LoadReportedAt, ReportDecayTime);
 }
 
 double WorkerRecord::failureShare(Instant Now) const {
+  if (Failures == 0)
+    return 0;
   const double Decay = decay(Now - CountedAt, FailureDecayTime);
   // Assumes one additional success, so that a single failure does not yield a
   // share of 1.
@@ -102,6 +108,8 @@
 }
 
 double WorkerRecord::relativeLatency(Instant Now) const {
+  if (LatencyRatio == 1)
+    return 1;
   return 1 + (LatencyRatio - 1) * decay(Now - LatencyRatioAt, LatencyDecayTime);
 }
 
--- a/src/masticgap/coordination/dispatch/dispatcher.cpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.cpp
@@ -39,6 +39,13 @@
 
 //! State of one service.
 struct Dispatcher::ServiceState {
+  //! Worker of the service, with what a choice needs of it.
+  struct Member {
+    const KnownWorker *State = nullptr;
+    WorkerRecord *Record = nullptr;
+    std::uint64_t Hash = 0;
+  };
+
   ServiceState(const DispatcherSettings &Settings, Instant Start)
       : Share(Settings.Region), Retries(Settings.Retries, Start) {}
 
@@ -51,11 +58,13 @@
   //! Decaying number of requests that arrived here, as of ArrivalsAt.
   double Arrivals = 0;
   Instant ArrivalsAt;
+  std::vector<Member> Members; //!< As of MembersRevision.
+  std::uint64_t MembersRevision = 0;
 };
 
 //! Workers that are eligible for one request.
 struct Dispatcher::CandidateSet {
-  std::vector<const KnownWorker *> Workers;
+  std::vector<const ServiceState::Member *> Members;
   std::vector<AffinityCandidate> Candidates;
   Instant Now;
 };
@@ -102,12 +111,25 @@
   return *State;
 }
 
+void Dispatcher::updateMembers(ServiceState &State,
+                               const ServiceName &Service) {
+  const ServiceWorkers Known = Directory.workers(Service);
+  if (State.MembersRevision == Known.Revision)
+    return;
+  State.MembersRevision = Known.Revision;
+  State.Members.clear();
+  for (const KnownWorker *Worker : Known.Workers)
+    State.Members.push_back(
+        {Worker, &Records[Worker->Worker.Id], workerHash(Worker->Worker.Id)});
+}
+
 std::vector<WorkerId> Dispatcher::tick(Instant Now) {
   auto Dropped = Directory.expire(Now);
   for (auto &[Service, State] : ServiceStates) {
     updateRegionShare(*State, Service, Now);
     updateJoining(*State, Service, Now);
   }
+  // The records of workers in the directory stay, as Members refers to them.
   std::erase_if(Records, [&](const auto &Entry) {
     return Entry.second.inFlight() == 0 && !Directory.find(Entry.first);
   });
@@ -119,11 +141,12 @@
   std::map<RegionName, RegionCapacity> Capacities;
   for (const auto &[Domain, Region] : Settings.DomainRegions)
     Capacities[Region].Region = Region;
-  for (const auto &[Id, WorkerState] : Directory.workers()) {
-    if (WorkerState.Worker.Service != Service ||
-        Directory.exclusion(WorkerState, Now) != WorkerExclusion::None)
+  updateMembers(State, Service);
+  for (const ServiceState::Member &Member : State.Members) {
+    const KnownWorker &WorkerState = *Member.State;
+    if (Directory.exclusion(WorkerState, Now) != WorkerExclusion::None)
       continue;
-    const WorkerRecord &Record = Records[Id];
+    const WorkerRecord &Record = *Member.Record;
     if (Record.isEjected(Now))
       continue;
     RegionCapacity &Capacity = Capacities[WorkerState.Worker.Region];
@@ -146,10 +169,9 @@
 void Dispatcher::updateJoining(ServiceState &State, const ServiceName &Service,
                                Instant Now) {
   std::map<RegionName, std::vector<Instant>> Groups;
-  for (const auto &[Id, WorkerState] : Directory.workers())
-    if (WorkerState.Worker.Service == Service &&
-        Directory.exclusion(WorkerState, Now) == WorkerExclusion::None)
-      Groups[WorkerState.Worker.Region].push_back(WorkerState.StartedAt);
+  for (const KnownWorker *Known : Directory.workers(Service).Workers)
+    if (Directory.exclusion(*Known, Now) == WorkerExclusion::None)
+      Groups[Known->Worker.Region].push_back(Known->StartedAt);
   const double HostRate =
       decayedArrivals(State.Arrivals, Now - State.ArrivalsAt) /
       ArrivalDecayTime.count();
@@ -185,10 +207,17 @@
   CandidateSet Result;
   Result.Now = Now;
   const ServiceTraits *Traits = traits(Request.Service);
-  const ServiceState &State = serviceState(Request.Service, Now);
-  for (const auto &[Id, WorkerState] : Directory.workers()) {
-    if (WorkerState.Worker.Service != Request.Service ||
-        Directory.exclusion(WorkerState, Now) != WorkerExclusion::None)
+  ServiceState &State = serviceState(Request.Service, Now);
+  updateMembers(State, Request.Service);
+  Result.Members.reserve(State.Members.size());
+  Result.Candidates.reserve(State.Members.size());
+  // Most neighbours in the list are of the same region.
+  const RegionName *LastRegion = nullptr;
+  const JoinSchedule *Schedule = nullptr;
+  for (const ServiceState::Member &Member : State.Members) {
+    const KnownWorker &WorkerState = *Member.State;
+    const WorkerId &Id = WorkerState.Worker.Id;
+    if (Directory.exclusion(WorkerState, Now) != WorkerExclusion::None)
       continue;
     if (!Request.HomeRegions.empty() &&
         std::ranges::find(Request.HomeRegions, WorkerState.Worker.Region) ==
@@ -196,11 +225,11 @@
       continue;
     if (std::ranges::find(Request.Tried, Id) != Request.Tried.end())
       continue;
-    const WorkerRecord &Record = Records[Id];
+    const WorkerRecord &Record = *Member.Record;
     if (Record.isEjected(Now))
       continue;
     AffinityCandidate Candidate;
-    Candidate.WorkerHash = workerHash(Id);
+    Candidate.WorkerHash = Member.Hash;
     Candidate.Cold = Now < WorkerState.ColdUntil;
     if (Candidate.Cold &&
         !ColdLimiter.maySend(Candidate.WorkerHash,
@@ -215,13 +244,18 @@
     Candidate.Occupancy = Record.occupancy(Now);
     Candidate.RelativeLatency = Record.relativeLatency(Now);
     Candidate.FailureShare = Record.failureShare(Now);
-    if (const auto JoiningIt = State.Joining.find(WorkerState.Worker.Region);
-        JoiningIt != State.Joining.end())
-      Candidate.TakenOverShare = JoiningIt->second.takenOverShare(
+    if (!LastRegion || *LastRegion != WorkerState.Worker.Region) {
+      LastRegion = &WorkerState.Worker.Region;
+      const auto JoiningIt = State.Joining.find(*LastRegion);
+      Schedule =
+          JoiningIt == State.Joining.end() ? nullptr : &JoiningIt->second;
+    }
+    if (Schedule)
+      Candidate.TakenOverShare = Schedule->takenOverShare(
           {WorkerState.StartedAt, WorkerState.ColdUntil}, Now);
     if (WorkerState.Worker.Region != Settings.Region)
       Candidate.RoundTrip = Settings.CrossRegionRoundTrip;
-    Result.Workers.push_back(&WorkerState);
+    Result.Members.push_back(&Member);
     Result.Candidates.push_back(Candidate);
   }
   return Result;
@@ -229,7 +263,7 @@
 
 WorkerPick Dispatcher::makePick(const CandidateSet &Available,
                                 std::size_t Index) const {
-  const KnownWorker &WorkerState = *Available.Workers[Index];
+  const KnownWorker &WorkerState = *Available.Members[Index]->State;
   WorkerPick Pick;
   Pick.Worker = WorkerState.Worker;
   Pick.Occupancy = Available.Candidates[Index].Occupancy;
@@ -246,13 +280,20 @@
 std::optional<WorkerPick> Dispatcher::bestCandidate(
     const CandidateSet &Available, const ServiceState &State,
     const RegionName *OnlyRegion, const DispatchRequest &Request) {
-  std::vector<AffinityCandidate> Candidates;
-  std::vector<std::size_t> Indices;
-  for (std::size_t I = 0; I < Available.Workers.size(); ++I) {
-    if (OnlyRegion && Available.Workers[I]->Worker.Region != *OnlyRegion)
-      continue;
-    Candidates.push_back(Available.Candidates[I]);
-    Indices.push_back(I);
+  std::span<const AffinityCandidate> Candidates = Available.Candidates;
+  std::vector<AffinityCandidate> InRegion;
+  std::vector<std::size_t> Indices; // Of InRegion; empty: all candidates.
+  const auto IsElsewhere = [&](const ServiceState::Member *Member) {
+    return Member->State->Worker.Region != *OnlyRegion;
+  };
+  if (OnlyRegion && std::ranges::any_of(Available.Members, IsElsewhere)) {
+    for (std::size_t I = 0; I < Available.Members.size(); ++I) {
+      if (IsElsewhere(Available.Members[I]))
+        continue;
+      InRegion.push_back(Available.Candidates[I]);
+      Indices.push_back(I);
+    }
+    Candidates = InRegion;
   }
   const Duration TypicalLatency =
       State.HasTypicalLatency
@@ -263,7 +304,8 @@
                                        TypicalLatency, Settings.Affinity);
   if (!Result)
     return std::nullopt;
-  WorkerPick Pick = makePick(Available, Indices[Result->Index]);
+  WorkerPick Pick = makePick(
+      Available, Indices.empty() ? Result->Index : Indices[Result->Index]);
   Pick.QueueWait = Result->QueueWait;
   Pick.ExpectedLatency = Result->ExpectedLatency;
   Pick.AffinityRank = Result->AffinityRank;
@@ -276,13 +318,11 @@
   if (JoiningIt == State.Joining.end() || JoiningIt->second.joining() == 0)
     return std::nullopt;
   const JoinSchedule &Schedule = JoiningIt->second;
-  for (std::size_t I = 0; I < Available.Workers.size(); ++I) {
-    const KnownWorker &WorkerState = *Available.Workers[I];
+  for (std::size_t I = 0; I < Available.Members.size(); ++I) {
+    const KnownWorker &WorkerState = *Available.Members[I]->State;
     const AffinityCandidate &Candidate = Available.Candidates[I];
     const WorkerStart Start{WorkerState.StartedAt, WorkerState.ColdUntil};
-    const auto RecordIt = Records.find(WorkerState.Worker.Id);
-    const bool Used = RecordIt != Records.end() && RecordIt->second.wasUsed();
-    if (Used || Candidate.Cold ||
+    if (Available.Members[I]->Record->wasUsed() || Candidate.Cold ||
         WorkerState.Worker.Region != Settings.Region ||
         !Schedule.isJoining(Start, Available.Now) ||
         !Schedule.trialIsDue(Start, Candidate.WorkerHash, Available.Now) ||
@@ -301,7 +341,7 @@
     return Rejection{RejectReason::NoTime, Duration(0), Duration(0)};
   ServiceState &State = serviceState(Request.Service, Now);
   const CandidateSet Available = candidates(Request, Now);
-  if (Available.Workers.empty())
+  if (Available.Members.empty())
     return Rejection{RejectReason::NoWorkers, NoWorkersRetryAfter, Duration(0)};
   // One host of the region tries a joining worker, which may be the preferred
   // worker of no object. This request is subject neither to admission nor to
@@ -456,10 +496,9 @@
 
 std::size_t Dispatcher::usableWorkers(const ServiceName &Service,
                                       Instant Now) const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Directory.workers(), [&](const auto &Entry) {
-        return Entry.second.Worker.Service == Service &&
-               Directory.exclusion(Entry.second, Now) == WorkerExclusion::None;
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Directory.workers(Service).Workers, [&](const KnownWorker *Known) {
+        return Directory.exclusion(*Known, Now) == WorkerExclusion::None;
       }));
 }
 
--- a/src/masticgap/coordination/dispatch/dispatcher.hpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.hpp
@@ -136,6 +136,8 @@
   struct CandidateSet;
 
   ServiceState &serviceState(const ServiceName &Service, Instant Now);
+  //! Brings the list of the service's workers up to date.
+  void updateMembers(ServiceState &State, const ServiceName &Service);
   const ServiceTraits *traits(const ServiceName &Service) const;
   CandidateSet candidates(const DispatchRequest &Request, Instant Now);
   std::optional<WorkerPick> bestCandidate(const CandidateSet &Available,
--- a/src/masticgap/coordination/fleet/worker_directory.cpp
+++ b/src/masticgap/coordination/fleet/worker_directory.cpp
@@ -36,7 +36,7 @@
   if (Entry.Worker.Leaving)
     addLeavingRun(Id, Entry.Worker.Run);
   State.Worker.Leaving = LeavingRuns.contains({Id, Entry.Worker.Run});
-  Workers[Id] = std::move(State);
+  Workers.assign(Id, std::move(State));
   return true;
 }
 
@@ -110,7 +110,7 @@
 
 std::vector<WorkerId> WorkerDirectory::expire(Instant Now) {
   std::vector<WorkerId> Dropped;
-  std::erase_if(Workers, [&](const auto &Entry) {
+  Workers.eraseIf([&](const auto &Entry) {
     const auto &LapsedUntil = Entry.second.LapsedUntil;
     const bool GraceOver = LapsedUntil && Now >= *LapsedUntil;
     if (GraceOver)
--- a/src/masticgap/coordination/fleet/worker_directory.hpp
+++ b/src/masticgap/coordination/fleet/worker_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticgap/coordination/fleet/worker_table.hpp"
 #include "masticgap/state/names.hpp"
 #include "masticgap/state/time.hpp"
 #include "masticgap/state/worker_descriptor.hpp"
@@ -26,15 +27,6 @@
                          const WorkerRegistration &) = default;
 };
 
-//! State of one worker as known to this host.
-struct KnownWorker {
-  WorkerDescriptor Worker;
-  Instant StartedAt; //!< When this incarnation started.
-  Instant ColdUntil; //!< Until then the worker tolerates few requests.
-  //! Set while the registration is lapsed; the worker is used until then.
-  std::optional<Instant> LapsedUntil;
-};
-
 //! Reason why a worker gets no requests.
 enum class WorkerExclusion {
   None,
@@ -103,7 +95,13 @@
 
   //! Returns why the worker gets no requests, or None.
   WorkerExclusion exclusion(const KnownWorker &State, Instant Now) const;
-  const std::map<WorkerId, KnownWorker> &workers() const { return Workers; }
+  const std::map<WorkerId, KnownWorker> &workers() const {
+    return Workers.entries();
+  }
+  //! Returns the workers of a service, whether they get requests or not.
+  ServiceWorkers workers(const ServiceName &Service) const {
+    return Workers.ofService(Service);
+  }
   const KnownWorker *find(const WorkerId &Id) const;
   const std::set<FailureDomainName> &evacuated() const { return Evacuated; }
 
@@ -111,7 +109,7 @@
   void addLeavingRun(const WorkerId &Id, Incarnation Run);
 
   DirectoryTiming Timing;
-  std::map<WorkerId, KnownWorker> Workers;
+  WorkerTable Workers;
   //! Newest known incarnation of each id.
   std::map<WorkerId, Incarnation> Newest;
   //! Incarnations that are or were leaving.
