--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -138,6 +138,8 @@
                    {"domain", Settings.Domain.value()},
                    {"run", LocalIncarnation.Value},
                    {"traffic_port", unsigned{Settings.Traffic.Port}}});
+  if (Platform.Store.OnEraRise)
+    Platform.Store.OnEraRise([this](StoreEra Era) { onStoreEra(Era); });
   Sync.start(*Servers->Peers, [this] {
     return Gossip ? Gossip->members() : std::span<const MemberRecord>();
   });
@@ -253,24 +255,36 @@
 }
 
 void GatewayDaemon::announceProgress() {
-  // A member's gossip record carries two version numbers; a gateway announces
-  // the newest changes of its two tables in them.
   const TableProgress Now = Sync.progress();
   if (Gossip && State.Config)
-    Gossip->setProgress(Now.Operator, Now.Workers);
+    Gossip->setProgress(Now.Operator.packed(), Now.Workers.packed());
+}
+
+void GatewayDaemon::onStoreEra(StoreEra Era) {
+  // The store's copy may lack this host's row. A write whose answer states the
+  // new era may have been lost as well.
+  HostAnnounced = false;
+  ++StoreEraRises;
+  NextJoinAt = std::max(State.now(), StartedAt + JoinDelay);
+  Sync.onEra(Era);
 }
 
 void GatewayDaemon::catchUpWithPeers() {
   if (!Gossip)
     return;
-  // Chooses the member with the largest sum of its two versions. A member that
-  // is ahead in one table only is also found through MemberProgressed.
+  // Chooses the member with the latest eras and then the largest sum of its two
+  // versions. A member that is ahead in one table only is also found through
+  // MemberProgressed.
+  const auto Rank = [](const MemberRecord &Member) {
+    const TableProgress Progress = TableProgress::of(Member);
+    return std::pair(unsigned{Progress.Operator.Era} + Progress.Workers.Era,
+                     Progress.Operator.Version + Progress.Workers.Version);
+  };
   const MemberRecord *Ahead = nullptr;
   for (const MemberRecord &Member : Gossip->members())
     if (Member.Status == MemberStatus::Alive &&
         Member.Host.Id != Settings.Host &&
-        (!Ahead || Member.ConfigVersion + Member.Epoch >
-                       Ahead->ConfigVersion + Ahead->Epoch))
+        (!Ahead || Rank(Member) > Rank(*Ahead)))
       Ahead = &Member;
   if (Ahead)
     Sync.peerProgressed(*Ahead);
@@ -288,7 +302,10 @@
       (IsAlone || Choice.isReader(Members, Settings.Domain))) {
     NextJoinAt = State.now() + JoinRetry;
     Platform.Store.AnnounceHost(Settings.Host.value(), Settings.Traffic.Address,
-                                [this](bool Done) { HostAnnounced = Done; });
+                                [this, Rises = StoreEraRises](bool Done) {
+                                  HostAnnounced =
+                                      Done && Rises == StoreEraRises;
+                                });
   }
   if (!IsAlone)
     return;
@@ -327,12 +344,16 @@
     return Registered && Registered->Worker.Run == Run &&
            !Registered->Worker.Leaving;
   });
+  Sync.tick();
   catchUpWithPeers();
   joinByStore();
 }
 
 bool GatewayDaemon::isReady() const {
-  return State.Config && !Stopping &&
+  // The store's copy may be older than what the other hosts have in force.
+  const bool AwaitsPeers = !Settings.Seeds.empty() && !Sync.knowsHeldRows() &&
+                           State.now() < StartedAt + JoinDelay;
+  return State.Config && !Stopping && !AwaitsPeers &&
          !State.Dispatch.directory().workers().empty();
 }
 
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -51,6 +51,8 @@
   void onMembersChanged(const coordination::MemberRecord &Changed);
   void updateHosts();
   void announceProgress();
+  //! Handles a rise of the store's era.
+  void onStoreEra(coordination::StoreEra Era);
   void catchUpWithPeers();
   //! Discovers other hosts through the store when the gossip seeds find none.
   void joinByStore();
@@ -86,6 +88,7 @@
   bool Stopping = false;
   bool Ended = false;
   bool HostAnnounced = false;
+  unsigned StoreEraRises = 0; //!< Since the start of this host.
 };
 
 } // namespace masticgap::gateway
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -18,7 +18,12 @@
 namespace masticgap::coordination {
 
 template <class Archive> void save(Archive &Ar, const RowChange &Change) {
-  Ar(Change.Row.Key, Change.Row.Value, Change.Row.Version, Change.Removed);
+  Ar(Change.Row.Key, Change.Row.Value, Change.Row.Version.packed(),
+     Change.Removed);
+}
+
+template <class Archive> void save(Archive &Ar, const TableRow &Row) {
+  Ar(Row.Key, Row.Value, Row.Version.packed());
 }
 
 } // namespace masticgap::coordination
@@ -29,7 +34,14 @@
 
 template <class Archive> void save(Archive &Ar, const PeerUpdate &Update) {
   const auto GraceMs = static_cast<std::uint32_t>(Update.LapseGrace.count());
-  Ar(Update.Changes, Update.Version, Update.IsSnapshot, GraceMs > 0, GraceMs);
+  // Hosts of earlier versions ignore what follows the fields that they know.
+  Ar(Update.Changes, Update.Version.packed(), Update.IsSnapshot, GraceMs > 0,
+     GraceMs);
+  Ar(Update.Held, static_cast<std::uint32_t>(Update.HeldGrace.count()));
+  Ar(cereal::make_size_tag(
+      static_cast<cereal::size_type>(Update.Ended.size())));
+  for (const auto &[Id, Ended] : Update.Ended)
+    Ar(Id.value(), Ended.Run.Value, Ended.Era);
 }
 
 namespace {
@@ -67,11 +79,23 @@
   return Byte == 1;
 }
 
+coordination::StorePosition loadPosition(Input &Ar) {
+  std::uint64_t Packed = 0;
+  Ar(Packed);
+  return coordination::StorePosition::unpack(Packed);
+}
+
+coordination::TableRow loadRow(Input &Ar) {
+  coordination::TableRow Row;
+  Row.Key = loadText(Ar);
+  Row.Value = loadText(Ar);
+  Row.Version = loadPosition(Ar);
+  return Row;
+}
+
 coordination::RowChange loadChange(Input &Ar) {
   coordination::RowChange Change;
-  Change.Row.Key = loadText(Ar);
-  Change.Row.Value = loadText(Ar);
-  Ar(Change.Row.Version);
+  Change.Row = loadRow(Ar);
   Change.Removed = loadFlag(Ar);
   return Change;
 }
@@ -84,7 +108,7 @@
   PeerUpdate Update;
   for (std::uint64_t Rest = loadSize(Ar); Rest > 0; --Rest)
     Update.Changes.push_back(loadChange(Ar));
-  Ar(Update.Version);
+  Update.Version = loadPosition(Ar);
   Update.IsSnapshot = loadFlag(Ar);
   if (loadFlag(Ar))
     Update.LapseGrace = UnstatedGrace;
@@ -93,6 +117,19 @@
   std::uint32_t GraceMs = 0;
   Ar(GraceMs);
   Update.LapseGrace = std::chrono::milliseconds(GraceMs);
+  if (Stream.peek() == std::istream::traits_type::eof())
+    return Update;
+  for (std::uint64_t Rest = loadSize(Ar); Rest > 0; --Rest)
+    Update.Held.push_back(loadRow(Ar));
+  std::uint32_t HeldGraceMs = 0;
+  Ar(HeldGraceMs);
+  Update.HeldGrace = std::chrono::milliseconds(HeldGraceMs);
+  for (std::uint64_t Rest = loadSize(Ar); Rest > 0; --Rest) {
+    const std::string Id = loadText(Ar);
+    coordination::EndedIncarnation Ended;
+    Ar(Ended.Run.Value, Ended.Era);
+    Update.Ended.emplace_back(WorkerId(Id), Ended);
+  }
   return Update;
 }
 
@@ -136,7 +173,8 @@
   Query.Table = transport::queryParameter(Target, "table") == "workers"
                     ? StoreTable::Workers
                     : StoreTable::Operator;
-  Query.AfterVersion = numberParameter(Target, "after");
+  Query.AfterVersion =
+      coordination::StorePosition::unpack(numberParameter(Target, "after"));
   Query.Wait = std::chrono::milliseconds(
       std::min(MaxWaitMs, numberParameter(Target, "wait_ms")));
   Query.FromReader = numberParameter(Target, "reader") == 1;
@@ -146,7 +184,7 @@
 std::string queryTarget(const PeerUpdateQuery &Query) {
   return std::string(ChangesPath) + "?table=" +
          (Query.Table == StoreTable::Workers ? "workers" : "operator") +
-         "&after=" + std::to_string(Query.AfterVersion) +
+         "&after=" + std::to_string(Query.AfterVersion.packed()) +
          "&wait_ms=" + std::to_string(Query.Wait.count()) +
          "&reader=" + (Query.FromReader ? "1" : "0");
 }
@@ -230,7 +268,7 @@
 }
 
 void PeerExchange::notify() {
-  using Key = std::tuple<StoreTable, std::uint64_t, bool, bool>;
+  using Key = std::tuple<StoreTable, coordination::StorePosition, bool, bool>;
   std::map<Key, std::optional<transport::HttpResponse>> Answers;
   std::list<std::pair<WaiterPtr, transport::HttpResponse>> Due;
   for (auto Entry = Waiters.begin(); Entry != Waiters.end();) {
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -15,6 +15,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace masticgap::gateway {
 
@@ -22,11 +24,18 @@
 //! complete snapshot if the peer no longer has these changes.
 struct PeerUpdate {
   std::vector<coordination::RowChange> Changes;
-  std::uint64_t Version = 0;
+  coordination::StorePosition Version;
   bool IsSnapshot = false; //!< Changes are all rows of the table.
   //! Time for which removals may be lapsed registrations; zero if they are
   //! definite.
   std::chrono::milliseconds LapseGrace{0};
+  //! Rows that are in force at the peer although its copy has none or others,
+  //! because the store was restored. They apply in any era.
+  std::vector<coordination::TableRow> Held;
+  //! Time for which evacuations in Held are in force.
+  std::chrono::milliseconds HeldGrace{0};
+  //! Incarnations that ended before the restore. They apply in any era.
+  std::vector<std::pair<WorkerId, coordination::EndedIncarnation>> Ended;
 };
 
 //! Encodes an update for a peer (cereal portable binary).
@@ -39,7 +48,7 @@
 //! Query for the changes of a table after a version.
 struct PeerUpdateQuery {
   StoreTable Table = StoreTable::Operator;
-  std::uint64_t AfterVersion = 0;
+  coordination::StorePosition AfterVersion;
   //! How long the peer may delay its answer while it has no change.
   std::chrono::milliseconds Wait{0};
   //! Requires the answering host to be connected to the store itself.
--- a/src/gateway/platform_api.hpp
+++ b/src/gateway/platform_api.hpp
@@ -29,7 +29,7 @@
 //! Changes up to and including a version.
 struct TableChanges {
   std::vector<coordination::RowChange> Changes;
-  std::uint64_t Version = 0;
+  coordination::StorePosition Version;
 };
 
 //! Calls to the platform's store. Each handler is called once, on the thread of
@@ -48,6 +48,9 @@
   std::function<void(std::string Host, std::string Address,
                      std::function<void(bool)>)>
       AnnounceHost;
+  //! Sets a function that gets the era of the store when it rises, before the
+  //! handler of the call whose answer stated it.
+  std::function<void(std::function<void(coordination::StoreEra)>)> OnEraRise;
 };
 
 //! Order of the operator to evacuate a failure domain.
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -20,6 +20,13 @@
   return std::chrono::ceil<std::chrono::milliseconds>(Time);
 }
 
+//! Time after a restore of the store for which evacuations stay in force that
+//! it lost, so that the operator can write them again.
+constexpr std::chrono::seconds EvacuationGrace{3};
+//! Number of peers that are asked after a restore what they hold from before.
+//! A single one may itself have just started.
+constexpr unsigned PeersAsked = 3;
+
 const char *tableName(StoreTable Table) {
   return Table == StoreTable::Operator ? "operator" : "workers";
 }
@@ -31,7 +38,15 @@
     : State(State), Platform(Platform), OnChange(std::move(OnChange)),
       Sources(State.Settings.Host),
       OperatorFeed(State.Io, StoreTable::Operator, State.Random()),
-      WorkerFeed(State.Io, StoreTable::Workers, State.Random()) {}
+      WorkerFeed(State.Io, StoreTable::Workers, State.Random()),
+      NextPeer(State.Random()) {}
+
+TableProgress TableProgress::of(const MemberRecord &Member) {
+  // A member's gossip record carries two numbers; a gateway announces the
+  // newest changes of its two tables in them.
+  return {StorePosition::unpack(Member.ConfigVersion),
+          StorePosition::unpack(Member.Epoch)};
+}
 
 StoreSync::~StoreSync() { *Alive = false; }
 
@@ -56,6 +71,7 @@
 
 void StoreSync::startCall(TableFeed &Feed, const FollowerCall &Call) {
   Feed.Reader.reset();
+  Feed.Reading = false;
   if (const auto *Wait = std::get_if<WaitUntil>(&Call))
     return startNextCallAt(Feed, Wait->Time);
   ++Feed.Generation;
@@ -96,6 +112,7 @@
 }
 
 void StoreSync::readStore(TableFeed &Feed) {
+  Feed.Reading = true;
   State.Stats.count("store_calls", tableName(Feed.Table));
   Platform.Store.Read(Feed.Table, [this, &Feed, StillAlive = Alive,
                                    Generation = Feed.Generation](auto Answer) {
@@ -146,7 +163,8 @@
 
 void StoreSync::recordDefiniteRemovals(TableFeed &Feed,
                                        const PeerUpdate &Update) {
-  if (Update.IsSnapshot || Update.LapseGrace > Duration(0))
+  if (Update.IsSnapshot || Update.LapseGrace > Duration(0) ||
+      Update.Version.Era != Feed.Follower.table().version().Era)
     return;
   recordRemovals(Feed, Update.Changes, Update.LapseGrace);
   if (Feed.Table != StoreTable::Workers)
@@ -159,22 +177,155 @@
 
 void StoreSync::applyUpdate(TableFeed &Feed, const PeerUpdate &Update) {
   recordDefiniteRemovals(Feed, Update);
-  if (!Update.IsSnapshot)
-    return apply(
-        Feed,
-        Feed.Follower.onChanges(Update.Changes, Update.Version, State.now()),
-        "peer", Update.LapseGrace);
+  if (!Update.IsSnapshot) {
+    apply(Feed,
+          Feed.Follower.onChanges(Update.Changes, Update.Version, State.now()),
+          "peer", Update.LapseGrace);
+    return applyHeld(Update);
+  }
   TableSnapshot Snapshot;
   Snapshot.Version = Update.Version;
   for (const RowChange &Change : Update.Changes)
     Snapshot.Rows.push_back(Change.Row);
-  apply(Feed, Feed.Follower.onPeerSnapshot(Snapshot), "peer",
-        Update.LapseGrace);
+  apply(Feed,
+        Feed.Follower.onPeerSnapshot(Snapshot, Update.LapseGrace, State.now()),
+        "peer", Update.LapseGrace);
+  applyHeld(Update);
+}
+
+void StoreSync::applyHeld(const PeerUpdate &Update) {
+  for (const TableRow &Row : Update.Held)
+    applyOperator({Row, false}, "peer");
+  if (!Update.Held.empty() && Update.HeldGrace > Duration(0))
+    EvacuationsHeldUntil = std::max(EvacuationsHeldUntil.value_or(State.now()),
+                                    State.now() + Update.HeldGrace);
+  for (const auto &[Id, Ended] : Update.Ended) {
+    if (!State.Dispatch.directory().recordEnded(Id, Ended))
+      continue;
+    State.Crashes.workerEnded(Id, std::nullopt, State.now());
+    State.Log.write(LogClass::Decision, "worker_gone",
+                    {{"worker", Id.value()},
+                     {"reason", "ended before a restore of the store"},
+                     {"run", Ended.Run.Value}});
+  }
+  if (!Update.Held.empty() || !Update.Ended.empty())
+    OnChange();
+}
+
+void StoreSync::addHeld(PeerUpdate &Update,
+                        const PeerUpdateQuery &Query) const {
+  const ReplicatedTable &Table = feed(Query.Table).Follower.table();
+  const StoreEra Era = Table.version().Era;
+  // A peer in a later era has read a copy of the store that may lack everything
+  // that is known here.
+  const bool PeerIsAhead = Query.AfterVersion.Era > Era;
+  if (Query.Table == StoreTable::Workers) {
+    for (const auto &[Id, Ended] : State.Dispatch.directory().ended())
+      if (PeerIsAhead || (Ended.Era < Era && Table.find(Id.value())))
+        Update.Ended.emplace_back(Id, Ended);
+    return;
+  }
+  const auto IsHeld = [&](const std::string &Key, const std::string &Value) {
+    const TableRow *Row = Table.find(Key);
+    return PeerIsAhead || !Row || Row->Value != Value;
+  };
+  if (ConfigRow && IsHeld(ConfigRow->Key, ConfigRow->Value))
+    Update.Held.push_back(*ConfigRow);
+  const Duration Grace = PeerIsAhead ? Duration(EvacuationGrace)
+                         : EvacuationsHeldUntil
+                             ? *EvacuationsHeldUntil - State.now()
+                             : Duration(0);
+  if (Grace <= Duration(0))
+    return;
+  for (const auto &[Key, Held] : Evacuations)
+    if (IsHeld(Key, Held.Value))
+      Update.Held.push_back({Key, Held.Value, Table.version()});
+  Update.HeldGrace = milliseconds(Grace);
+}
+
+void StoreSync::onEra(StoreEra Era) {
+  if (Stopped || !Exchange)
+    return;
+  for (TableFeed *Feed : {&OperatorFeed, &WorkerFeed}) {
+    if (!Feed->Follower.onEra(Era, State.now()))
+      continue;
+    State.Log.write(
+        LogClass::Decision, "store_restored",
+        {{"table", tableName(Feed->Table)},
+         {"era", unsigned{Era}},
+         {"known_era", unsigned{Feed->Follower.table().version().Era}},
+         {"version", Feed->Follower.table().version().Version}});
+    // A read that is under way continues; the follower repeats it if its answer
+    // is of the earlier era.
+    if (Feed->Reading)
+      continue;
+    Feed->Timer.cancel();
+    startNextCall(*Feed);
+  }
+}
+
+void StoreSync::startEra(TableFeed &Feed, std::string_view Source) {
+  const StorePosition Position = Feed.Follower.table().version();
+  // Announces the era, also if no row differs.
+  Feed.NewestChangeVersion = Position;
+  Feed.PeersToAsk = PeersAsked;
+  Feed.PeerAnswered = false;
+  if (Feed.Table == StoreTable::Workers)
+    State.Dispatch.directory().setEra(Position.Era);
+  else if (const auto Start = Feed.Follower.eraStart())
+    EvacuationsHeldUntil = *Start + EvacuationGrace;
+  State.Stats.count("store_eras", tableName(Feed.Table));
+  State.Log.write(LogClass::Decision, "store_era",
+                  {{"table", tableName(Feed.Table)},
+                   {"era", unsigned{Position.Era}},
+                   {"version", Position.Version},
+                   {"source", std::string(Source)}});
+}
+
+bool StoreSync::knowsHeldRows() const {
+  return OperatorFeed.PeerAnswered && WorkerFeed.PeerAnswered;
+}
+
+void StoreSync::tick() {
+  if (Stopped || !Exchange)
+    return;
+  askPeers();
+  if (!EvacuationsHeldUntil || State.now() < *EvacuationsHeldUntil)
+    return;
+  EvacuationsHeldUntil.reset();
+  const std::size_t Ended = std::erase_if(Evacuations, [&](const auto &Entry) {
+    if (OperatorFeed.Follower.table().find(Entry.first))
+      return false;
+    State.Log.write(LogClass::Decision, "evacuation_ended",
+                    {{"row", Entry.first},
+                     {"reason", "not written again after a restore"}});
+    return true;
+  });
+  if (Ended > 0)
+    updateEvacuated();
+}
+
+void StoreSync::askPeers() {
+  if (OperatorFeed.PeersToAsk == 0 && WorkerFeed.PeersToAsk == 0)
+    return;
+  std::vector<const MemberRecord *> Peers;
+  for (const MemberRecord &Member : KnownMembers())
+    if (Member.Status == MemberStatus::Alive &&
+        Member.Host.Id != State.Settings.Host)
+      Peers.push_back(&Member);
+  if (Peers.empty())
+    return;
+  const MemberRecord &Peer = *Peers[NextPeer++ % Peers.size()];
+  for (TableFeed *Feed : {&OperatorFeed, &WorkerFeed})
+    if (Feed->PeersToAsk > 0)
+      fetchFrom(*Feed, Peer);
 }
 
 void StoreSync::membersChanged() {
   if (Stopped || !Exchange)
     return;
+  if (!knowsHeldRows())
+    askPeers();
   for (TableFeed *Feed : {&OperatorFeed, &WorkerFeed}) {
     if (!Feed->Reader)
       continue;
@@ -196,6 +347,7 @@
     return std::nullopt;
   PeerUpdate Update;
   Update.Version = Table.version();
+  addHeld(Update, Query);
   if (auto Changes = Table.changesSince(Query.AfterVersion)) {
     Update.Changes = std::move(*Changes);
     Update.LapseGrace =
@@ -221,11 +373,11 @@
   if (HistoryGone)
     State.Log.write(LogClass::Decision, "store_history_gone",
                     {{"table", tableName(Feed.Table)},
-                     {"version", Feed.Follower.table().version()}});
+                     {"version", Feed.Follower.table().version().Version}});
   else if (Feed.ReportedConnected)
     State.Log.write(LogClass::Decision, "store_lost",
                     {{"table", tableName(Feed.Table)},
-                     {"version", Feed.Follower.table().version()}});
+                     {"version", Feed.Follower.table().version().Version}});
   // HistoryGone is an answer of the store, so the store is still connected.
   Feed.ReportedConnected = HistoryGone && Feed.ReportedConnected;
   // Hosts that wait for changes here have to query another host.
@@ -240,7 +392,7 @@
     Feed.ReportedConnected = true;
     State.Log.write(LogClass::Decision, "store_connected",
                     {{"table", tableName(Feed.Table)},
-                     {"version", Feed.Follower.table().version()}});
+                     {"version", Feed.Follower.table().version().Version}});
   }
   apply(Feed, Changes, "store", Feed.Follower.lapseGrace(State.now()));
   startNextCall(Feed);
@@ -254,6 +406,10 @@
     Feed.Follower.recordPeerChanges(State.now());
   recordRemovals(Feed, Changes, LapseGrace);
   RemovedWorkers.clear();
+  EraStarted =
+      Feed.Follower.table().version().Era > Feed.NewestChangeVersion.Era;
+  if (EraStarted)
+    startEra(Feed, Source);
   for (const RowChange &Change : Changes) {
     Feed.NewestChangeVersion =
         std::max(Feed.NewestChangeVersion, Change.Row.Version);
@@ -271,12 +427,12 @@
                        {"lapse", LapseGrace > Duration(0)},
                        {"grace_ms", milliseconds(LapseGrace).count()},
                        {"source", std::string(Source)},
-                       {"version", Feed.Follower.table().version()}});
+                       {"version", Feed.Follower.table().version().Version}});
     }
     State.Dispatch.directory().recordRemovals(RemovedWorkers, LapseGrace,
                                               State.now());
   }
-  if (Changes.empty())
+  if (Changes.empty() && !EraStarted)
     return;
   OnChange();
   Exchange->notify();
@@ -286,10 +442,12 @@
                               std::string_view Source) {
   const std::string &Key = Change.Row.Key;
   if (Change.Removed) {
+    if (EvacuationsHeldUntil && State.now() < *EvacuationsHeldUntil)
+      return; // tick() ends it if the operator does not write it again.
     if (Evacuations.erase(Key) == 0)
       return;
     State.Log.write(LogClass::Decision, "evacuation_ended",
-                    {{"row", Key}, {"version", Change.Row.Version}});
+                    {{"row", Key}, {"version", Change.Row.Version.Version}});
   } else {
     const Instant DecodeStart = State.now();
     const auto Decoded = Platform.Rows.Operator(Change.Row);
@@ -297,7 +455,7 @@
       State.Log.write(LogClass::Decision, "row_unreadable",
                       {{"row", Key},
                        {"error", describe(*Problem)},
-                       {"version", Change.Row.Version}});
+                       {"version", Change.Row.Version.Version}});
       return;
     }
     const auto &Row = std::get<OperatorRow>(Decoded);
@@ -306,6 +464,7 @@
       if (State.Config && (*NewConfig)->Version <= State.Config->Version)
         return;
       State.adopt(*NewConfig);
+      ConfigRow = Change.Row;
       State.Log.write(
           LogClass::Decision, "config_adopted",
           {{"version", (*NewConfig)->Version},
@@ -320,15 +479,19 @@
     const auto *Evacuated = std::get_if<Evacuation>(&Row);
     if (!Evacuated)
       return;
-    Evacuations[Key] = Evacuated->Domain;
+    Evacuations[Key] = {Evacuated->Domain, Change.Row.Value};
     State.Log.write(LogClass::Decision, "evacuation_started",
                     {{"domain", Evacuated->Domain.value()},
                      {"source", std::string(Source)},
-                     {"version", Change.Row.Version}});
+                     {"version", Change.Row.Version.Version}});
   }
+  updateEvacuated();
+}
+
+void StoreSync::updateEvacuated() {
   std::set<FailureDomainName> Domains;
-  for (const auto &[Row, Domain] : Evacuations)
-    Domains.insert(Domain);
+  for (const auto &[Key, Row] : Evacuations)
+    Domains.insert(Row.Domain);
   State.Dispatch.directory().setEvacuated(
       std::move(Domains),
       [this](const ServiceName &Service) {
@@ -349,7 +512,7 @@
     State.Log.write(LogClass::Decision, "row_unreadable",
                     {{"row", Id.value()},
                      {"error", describe(*Problem)},
-                     {"version", Change.Row.Version}});
+                     {"version", Change.Row.Version.Version}});
     return;
   }
   const auto &Registration = std::get<WorkerRegistration>(Decoded);
@@ -362,6 +525,10 @@
       Registration, State.now(), Age);
   if (Accepted)
     State.Crashes.workerEnded(Id, Registration.Worker.Run, State.now());
+  const KnownWorker *Known = State.Dispatch.directory().find(Id);
+  // The registration of the known incarnation is missing in the store's copy.
+  if (EraStarted && Known && Registration.Worker.Run < Known->Worker.Run)
+    RemovedWorkers.push_back(Id);
   State.Log.write(LogClass::Decision, "worker_registered",
                   {{"worker", Id.value()},
                    {"service", Registration.Worker.Service.value()},
@@ -371,7 +538,7 @@
                                    Registration.ColdDuration)
                                    .count()},
                    {"taken", Accepted},
-                   {"version", Change.Row.Version}});
+                   {"version", Change.Row.Version.Version}});
 }
 
 TableProgress StoreSync::progress() const {
@@ -386,11 +553,10 @@
 void StoreSync::peerProgressed(const MemberRecord &Peer) {
   if (!Exchange)
     return;
-  if (OperatorFeed.Follower.isBehind(Peer.ConfigVersion))
+  const TableProgress Progress = TableProgress::of(Peer);
+  if (OperatorFeed.Follower.isBehind(Progress.Operator))
     fetchFrom(OperatorFeed, Peer);
-  // The record's Epoch holds the version of the table of workers, see
-  // GatewayDaemon::announceProgress().
-  if (WorkerFeed.Follower.isBehind(Peer.Epoch))
+  if (WorkerFeed.Follower.isBehind(Progress.Workers))
     fetchFrom(WorkerFeed, Peer);
 }
 
@@ -400,11 +566,12 @@
   Feed.Fetching = true;
   auto Delay = std::make_shared<boost::asio::steady_timer>(State.Io);
   // A host without a connection to the store has no feed to wait for.
-  Delay->expires_after(Feed.Follower.isConnected()
+  Delay->expires_after(Feed.Follower.isConnected() && Feed.PeersToAsk == 0
                            ? std::chrono::milliseconds(PeerDelay)
                            : std::chrono::milliseconds(0));
-  const std::uint64_t WantedVersion =
-      Feed.Table == StoreTable::Operator ? Peer.ConfigVersion : Peer.Epoch;
+  const TableProgress Progress = TableProgress::of(Peer);
+  const StorePosition WantedVersion =
+      Feed.Table == StoreTable::Operator ? Progress.Operator : Progress.Workers;
   const Endpoint Address{Peer.Host.Address, Peer.Host.AdminPort};
   Delay->async_wait([this, &Feed, WantedVersion, Address, Delay,
                      StillAlive = Alive](boost::system::error_code) {
@@ -413,9 +580,9 @@
   });
 }
 
-void StoreSync::catchUp(TableFeed &Feed, std::uint64_t WantedVersion,
+void StoreSync::catchUp(TableFeed &Feed, StorePosition WantedVersion,
                         const Endpoint &Peer) {
-  if (!Feed.Follower.isBehind(WantedVersion)) {
+  if (!Feed.Follower.isBehind(WantedVersion) && Feed.PeersToAsk == 0) {
     Feed.Fetching = false;
     return;
   }
@@ -431,6 +598,8 @@
         Feed.Fetching = false;
         if (!Result)
           return;
+        Feed.PeersToAsk -= std::min(Feed.PeersToAsk, 1U);
+        Feed.PeerAnswered = true;
         State.Stats.count("caught_up_with_peer", tableName(Feed.Table));
         if (Result->IsSnapshot) {
           applyUpdate(Feed, *Result);
@@ -439,6 +608,7 @@
           apply(Feed,
                 Feed.Follower.onPeerChanges(Result->Changes, Result->Version),
                 "peer", Result->LapseGrace);
+          applyHeld(*Result);
         }
       });
 }
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -16,10 +16,13 @@
 
 namespace masticgap::gateway {
 
-//! Version of the newest change of each table, as announced through gossip.
+//! Position of the newest change of each table, as announced through gossip.
 struct TableProgress {
-  std::uint64_t Operator = 0;
-  std::uint64_t Workers = 0;
+  coordination::StorePosition Operator;
+  coordination::StorePosition Workers;
+
+  //! Returns the progress that a member announces.
+  static TableProgress of(const coordination::MemberRecord &Member);
 };
 
 //! Synchronizes configuration, evacuations and workers with the store, and with
@@ -40,6 +43,14 @@
   void stop();
   //! Catches up with a peer whose record announces newer versions.
   void peerProgressed(const coordination::MemberRecord &Peer);
+  //! Reads the tables again if the store's era has risen.
+  //! \param Era of an answer of the store.
+  void onEra(coordination::StoreEra Era);
+  //! Ends grace periods and asks peers, to be called periodically.
+  void tick();
+  //! Returns whether a peer has told what it holds from before a restore of the
+  //! store, or nothing can have been lost.
+  bool knowsHeldRows() const;
   //! Chooses another reader if the current one is no longer alive.
   void membersChanged();
 
@@ -62,8 +73,13 @@
     boost::asio::steady_timer Timer;
     //! Version of the newest change, announced through gossip. It may exceed
     //! the versions of all rows after a removal.
-    std::uint64_t NewestChangeVersion = 0;
-    bool Fetching = false; //!< Catching up with a peer.
+    coordination::StorePosition NewestChangeVersion;
+    //! Number of peers that are still to be asked what they hold from before a
+    //! restore of the store.
+    unsigned PeersToAsk = 0;
+    bool PeerAnswered = true; //!< One of those peers did.
+    bool Reading = false;     //!< The current call reads the table.
+    bool Fetching = false;    //!< Catching up with a peer.
     //! Results of calls from earlier generations are ignored.
     std::uint64_t Generation = 0;
     std::optional<HostId> Reader;   //!< Queried instead of the store.
@@ -95,8 +111,16 @@
                      std::string_view Source);
   void applyWorker(const coordination::RowChange &Change);
   void fetchFrom(TableFeed &Feed, const coordination::MemberRecord &Peer);
-  void catchUp(TableFeed &Feed, std::uint64_t WantedVersion,
+  void catchUp(TableFeed &Feed, coordination::StorePosition WantedVersion,
                const Endpoint &Peer);
+  //! Asks a live peer for what it holds from before a restore.
+  void askPeers();
+  //! Starts the grace periods of a later era of the store.
+  void startEra(TableFeed &Feed, std::string_view Source);
+  //! Adds what this host holds from before a restore.
+  void addHeld(PeerUpdate &Update, const PeerUpdateQuery &Query) const;
+  void applyHeld(const PeerUpdate &Update);
+  void updateEvacuated();
   const TableFeed &feed(StoreTable Table) const {
     return Table == StoreTable::Operator ? OperatorFeed : WorkerFeed;
   }
@@ -109,9 +133,19 @@
   coordination::FeedSourceChoice Sources;
   TableFeed OperatorFeed;
   TableFeed WorkerFeed;
-  std::map<std::string, FailureDomainName> Evacuations; //!< By row key.
+  struct EvacuationRow {
+    FailureDomainName Domain;
+    std::string Value; //!< Of the row, for peers.
+  };
+  std::map<std::string, EvacuationRow> Evacuations; //!< By row key.
+  //! Until then no evacuation ends, since the operator may write its row again.
+  std::optional<Instant> EvacuationsHeldUntil;
+  //! Row of the configuration in force. The copy may have an older one.
+  std::optional<coordination::TableRow> ConfigRow;
+  std::size_t NextPeer; //!< Index of the next peer to ask.
   std::vector<WorkerId>
-      RemovedWorkers; //!< Collected from one batch of changes.
+      RemovedWorkers;      //!< Collected from one batch of changes.
+  bool EraStarted = false; //!< That batch is the first of an era.
   bool Stopped = false;
   //! Set to false by the destructor; handlers of pending calls check it.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/masticgap/coordination/fleet/worker_directory.cpp
+++ b/src/masticgap/coordination/fleet/worker_directory.cpp
@@ -14,12 +14,23 @@
 //! Maximum number of leaving incarnations that are stored. The one with the
 //! lowest worker id is discarded first.
 constexpr std::size_t MaxLeftIncarnations = 8192;
+//! Maximum number of ended incarnations that are stored, one for each worker.
+//! The one of the earliest era is discarded first.
+constexpr std::size_t MaxEnded = 8192;
 
 } // namespace
 
 bool WorkerDirectory::recordRegistration(const WorkerRegistration &Entry,
                                          Instant Now, Duration Age) {
   const WorkerId &Id = Entry.Worker.Id;
+  const auto EndedIt = Ended.find(Id);
+  if (EndedIt != Ended.end() && Entry.Worker.Run <= EndedIt->second.Run) {
+    if (Era > EndedIt->second.Era)
+      return false;
+    // Within one era a later write shows that the worker is back.
+    if (Entry.Worker.Run == EndedIt->second.Run)
+      Ended.erase(EndedIt);
+  }
   Incarnation &NewestRun = Newest[Id];
   if (Entry.Worker.Run < NewestRun)
     return false;
@@ -36,6 +47,8 @@
   if (Entry.Worker.Leaving)
     addLeavingRun(Id, Entry.Worker.Run);
   State.Worker.Leaving = LeavingRuns.contains({Id, Entry.Worker.Run});
+  if (State.Worker.Leaving)
+    addEnded(Id, {Entry.Worker.Run, Era});
   Workers[Id] = std::move(State);
   return true;
 }
@@ -51,6 +64,8 @@
     if (WorkerIt == Workers.end())
       continue;
     KnownWorker &State = WorkerIt->second;
+    if (LapseGrace == Duration(0) || State.Worker.Leaving)
+      addEnded(Id, {State.Worker.Run, Era});
     if (Grace > Duration(0) && !State.Worker.Leaving) {
       State.LapsedUntil =
           std::min(State.LapsedUntil.value_or(Now + Grace), Now + Grace);
@@ -90,6 +105,7 @@
   if (LeavingRuns.contains({Id, Run}))
     return false;
   addLeavingRun(Id, Run);
+  addEnded(Id, {Run, Era});
   const auto WorkerIt = Workers.find(Id);
   if (WorkerIt != Workers.end() && WorkerIt->second.Worker.Run == Run)
     WorkerIt->second.Worker.Leaving = true;
@@ -104,8 +120,33 @@
 
 void WorkerDirectory::recordDefiniteRemoval(const WorkerId &Id) {
   const auto WorkerIt = Workers.find(Id);
-  if (WorkerIt != Workers.end() && WorkerIt->second.LapsedUntil)
-    Workers.erase(WorkerIt);
+  if (WorkerIt == Workers.end() || !WorkerIt->second.LapsedUntil)
+    return;
+  addEnded(Id, {WorkerIt->second.Worker.Run, Era});
+  Workers.erase(WorkerIt);
+}
+
+void WorkerDirectory::addEnded(const WorkerId &Id,
+                               const EndedIncarnation &New) {
+  const auto [EndedIt, Added] = Ended.try_emplace(Id, New);
+  // A later era does not replace an earlier one: the incarnation stays ended
+  // from then on.
+  if (!Added && New.Run > EndedIt->second.Run)
+    EndedIt->second = New;
+  if (Ended.size() > MaxEnded)
+    Ended.erase(std::ranges::min_element(
+        Ended, {}, [](const auto &Entry) { return Entry.second.Era; }));
+}
+
+bool WorkerDirectory::recordEnded(const WorkerId &Id,
+                                  const EndedIncarnation &EndedRun) {
+  addEnded(Id, EndedRun);
+  const auto WorkerIt = Workers.find(Id);
+  if (WorkerIt == Workers.end() || EndedRun.Era >= Era ||
+      WorkerIt->second.Worker.Run > EndedRun.Run)
+    return false;
+  Workers.erase(WorkerIt);
+  return true;
 }
 
 std::vector<WorkerId> WorkerDirectory::expire(Instant Now) {
--- a/src/masticgap/coordination/fleet/worker_directory.hpp
+++ b/src/masticgap/coordination/fleet/worker_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticgap/coordination/replica/store_position.hpp"
 #include "masticgap/state/names.hpp"
 #include "masticgap/state/time.hpp"
 #include "masticgap/state/worker_descriptor.hpp"
@@ -35,6 +36,16 @@
   std::optional<Instant> LapsedUntil;
 };
 
+//! Incarnation that ended: its registration was removed for good, or it is
+//! leaving.
+struct EndedIncarnation {
+  Incarnation Run;
+  StoreEra Era = 0; //!< Era of the store in which it ended.
+
+  friend bool operator==(const EndedIncarnation &,
+                         const EndedIncarnation &) = default;
+};
+
 //! Reason why a worker gets no requests.
 enum class WorkerExclusion {
   None,
@@ -60,9 +71,13 @@
   //! Returns the duration of the cold phase of a service's workers.
   using ColdDurationFunction = std::function<Duration(const ServiceName &)>;
 
+  //! Sets the era of the store that the next registrations and removals are of.
+  void setEra(StoreEra New) { Era = New; }
+
   //! Records a written registration.
   //! \param Age time since the start of the incarnation.
-  //! \returns false if it is of an older incarnation and has no effect.
+  //! \returns false if it has no effect, because it is of an older incarnation
+  //! or of one that ended in an earlier era.
   bool recordRegistration(const WorkerRegistration &Entry, Instant Now,
                           Duration Age = Duration(0));
 
@@ -77,6 +92,11 @@
   //! reports that its removal was none. Has no effect if it was renewed.
   void recordDefiniteRemoval(const WorkerId &Id);
 
+  //! Records that an incarnation ended, as a peer reports it. Drops the worker
+  //! if that was in an earlier era than the present one.
+  //! \returns whether the worker was dropped.
+  bool recordEnded(const WorkerId &Id, const EndedIncarnation &EndedRun);
+
   //! Removes a worker whose registration cannot be read.
   void recordUnreadable(const WorkerId &Id) { Workers.erase(Id); }
 
@@ -106,9 +126,12 @@
   const std::map<WorkerId, KnownWorker> &workers() const { return Workers; }
   const KnownWorker *find(const WorkerId &Id) const;
   const std::set<FailureDomainName> &evacuated() const { return Evacuated; }
+  //! Returns the newest incarnation of each worker that ended.
+  const std::map<WorkerId, EndedIncarnation> &ended() const { return Ended; }
 
 private:
   void addLeavingRun(const WorkerId &Id, Incarnation Run);
+  void addEnded(const WorkerId &Id, const EndedIncarnation &New);
 
   DirectoryTiming Timing;
   std::map<WorkerId, KnownWorker> Workers;
@@ -116,6 +139,8 @@
   std::map<WorkerId, Incarnation> Newest;
   //! Incarnations that are or were leaving.
   std::set<std::pair<WorkerId, Incarnation>> LeavingRuns;
+  std::map<WorkerId, EndedIncarnation> Ended; //!< See ended().
+  StoreEra Era = 0;
   std::set<FailureDomainName> Evacuated;
 };
 
--- a/src/masticgap/coordination/replica/replicated_table.cpp
+++ b/src/masticgap/coordination/replica/replicated_table.cpp
@@ -15,11 +15,21 @@
 std::vector<RowChange> ReplicatedTable::replace(const TableSnapshot &Snapshot) {
   if (Loaded && Snapshot.Version < Version)
     return {};
+  if (Snapshot.Version.Era > Version.Era) {
+    Tombstones.clear(); // They name positions that no longer exist.
+    Version = {Snapshot.Version.Era, 0};
+  }
   std::map<std::string, const TableRow *> SnapshotRows;
   std::vector<RowChange> Changes;
   for (const TableRow &Row : Snapshot.Rows) {
     SnapshotRows.emplace(Row.Key, &Row);
-    Changes.push_back({Row, false});
+    const auto RowIt = Rows.find(Row.Key);
+    // Workers would be cold again if their unchanged rows were reported.
+    if (RowIt != Rows.end() && RowIt->second.Version.Era < Version.Era &&
+        RowIt->second.Value == Row.Value)
+      RowIt->second.Version = Row.Version;
+    else
+      Changes.push_back({Row, false});
   }
   for (const auto &[Key, Row] : Rows)
     if (!SnapshotRows.contains(Key))
@@ -32,7 +42,9 @@
 
 std::vector<RowChange>
 ReplicatedTable::apply(std::span<const RowChange> Changes,
-                       std::uint64_t NewVersion) {
+                       StorePosition NewVersion) {
+  if (NewVersion.Era != Version.Era)
+    return {};
   std::vector<RowChange> Applied;
   for (const RowChange &Change : Changes) {
     const auto RowIt = Rows.find(Change.Row.Key);
@@ -62,7 +74,7 @@
 }
 
 std::optional<std::vector<RowChange>>
-ReplicatedTable::changesSince(std::uint64_t Earlier) const {
+ReplicatedTable::changesSince(StorePosition Earlier) const {
   if (!Loaded || Earlier < Horizon)
     return std::nullopt;
   std::vector<RowChange> Changes;
@@ -77,6 +89,11 @@
   return Changes;
 }
 
+const TableRow *ReplicatedTable::find(const std::string &Key) const {
+  const auto RowIt = Rows.find(Key);
+  return RowIt == Rows.end() ? nullptr : &RowIt->second;
+}
+
 TableSnapshot ReplicatedTable::snapshot() const {
   TableSnapshot Snapshot;
   Snapshot.Version = Version;
--- a/src/masticgap/coordination/replica/replicated_table.hpp
+++ b/src/masticgap/coordination/replica/replicated_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>
+#include "masticgap/coordination/replica/store_position.hpp"
+
 #include <map>
 #include <optional>
 #include <span>
@@ -13,7 +14,7 @@
 struct TableRow {
   std::string Key;
   std::string Value;
-  std::uint64_t Version = 0; //!< Version of the last write to the row.
+  StorePosition Version; //!< Position of the last write to the row.
 
   friend bool operator==(const TableRow &, const TableRow &) = default;
 };
@@ -29,35 +30,39 @@
 //! All rows of a table as of one version.
 struct TableSnapshot {
   std::vector<TableRow> Rows;
-  std::uint64_t Version = 0;
+  StorePosition Version;
 
   friend bool operator==(const TableSnapshot &,
                          const TableSnapshot &) = default;
 };
 
 //! Local copy of a table. Accepts snapshots and changes from any source in any
-//! order and never returns to an older version.
+//! order and never returns to an older position. All its rows are of one era.
 class ReplicatedTable {
 public:
   //! Replaces the copy by a complete snapshot of the table.
   //! \returns the rows that differ; nothing if the snapshot is older than the
-  //! copy.
+  //! copy. In a snapshot of a later era, rows with an unchanged value do not
+  //! differ.
   std::vector<RowChange> replace(const TableSnapshot &Snapshot);
 
   //! Applies the changes that lead from the copy's version, or an earlier one,
-  //! to \p Version. Does not check that they are complete.
+  //! to \p Version. Does not check that they are complete. Changes of another
+  //! era have no effect: they do not lead from the copy's version.
   //! \returns the changes that were not known before.
   std::vector<RowChange> apply(std::span<const RowChange> Changes,
-                               std::uint64_t Version);
+                               StorePosition Version);
 
-  //! Returns the version of the copy; 0 before the first snapshot.
-  std::uint64_t version() const { return Version; }
+  //! Returns the position of the copy; 0 before the first snapshot.
+  StorePosition version() const { return Version; }
   bool isLoaded() const { return Loaded; }
   //! Returns the changes from an earlier version to that of the copy.
   //! \returns nothing if tombstones since then may have been discarded; then
   //! only a snapshot shows the removals.
   std::optional<std::vector<RowChange>>
-  changesSince(std::uint64_t Earlier) const;
+  changesSince(StorePosition Earlier) const;
+  //! \returns nullptr if there is no such row.
+  const TableRow *find(const std::string &Key) const;
   //! Returns the copy as a snapshot for a peer.
   TableSnapshot snapshot() const;
 
@@ -65,10 +70,10 @@
   std::map<std::string, TableRow> Rows;
   //! Versions at which rows were removed, so that older writes that arrive late
   //! are ignored.
-  std::map<std::string, std::uint64_t> Tombstones;
-  std::uint64_t Version = 0;
+  std::map<std::string, StorePosition> Tombstones;
+  StorePosition Version;
   //! All removals after this version are contained in Tombstones.
-  std::uint64_t Horizon = 0;
+  StorePosition Horizon;
   bool Loaded = false;
 };
 
--- a/src/masticgap/coordination/replica/table_follower.cpp
+++ b/src/masticgap/coordination/replica/table_follower.cpp
@@ -60,19 +60,44 @@
   const bool IsStale = Copy.isLoaded() && Snapshot.Version < Copy.version();
   answered(Now);
   // A lagging replica may answer; the read is repeated until it has caught up.
-  MustRead = IsStale;
+  MustRead = IsStale || Snapshot.Version.Era < NewestEra;
   if (IsStale) {
-    NotBefore = Now + Timing.FirstBackoff;
+    NotBefore =
+        Now + (Snapshot.Version.Era < Copy.version().Era ? Timing.MaxBackoff
+                                                         : Timing.FirstBackoff);
     return {};
   }
+  return replaceCopy(Snapshot, Now);
+}
+
+std::vector<RowChange> TableFollower::replaceCopy(const TableSnapshot &Snapshot,
+                                                  Instant Returned) {
+  if (Copy.isLoaded() && Snapshot.Version.Era > Copy.version().Era)
+    EraStart = Returned;
   return Copy.replace(Snapshot);
 }
 
+bool TableFollower::onEra(StoreEra Era, Instant Now) {
+  if (Era <= NewestEra)
+    return false;
+  NewestEra = Era;
+  if (!Copy.isLoaded() || Era <= Copy.version().Era)
+    return false;
+  MustRead = true;
+  NotBefore = Now;
+  return true;
+}
+
 std::vector<RowChange>
 TableFollower::onChanges(std::span<const RowChange> Changes,
-                         std::uint64_t Version, Instant Now) {
+                         StorePosition Version, Instant Now) {
   answered(Now);
   ConsecutiveHistoryGone = 0;
+  if (Version.Era < Copy.version().Era)
+    // The answering replica or host has not seen the restore. Repeated calls
+    // would be answered at once with the same changes.
+    NotBefore = Now + Timing.MaxBackoff;
+  onEra(Version.Era, Now);
   return Copy.apply(Changes, Version);
 }
 
@@ -102,6 +127,12 @@
 }
 
 Duration TableFollower::lapseGrace(Instant Now) const {
+  const Duration RestoreGrace =
+      EraStart ? *EraStart + LapseWindow - Now : Duration(0);
+  return std::max(RestoreGrace, outageGrace(Now));
+}
+
+Duration TableFollower::outageGrace(Instant Now) const {
   const bool IsBack = isConnected();
   if (IsBack && Reconnected == Instant())
     return Duration(0);
@@ -117,11 +148,12 @@
 
 Duration TableFollower::passedOnGrace(std::span<const RowChange> Changes,
                                       Instant Now) const {
-  std::uint64_t NewestRemoval = 0;
+  StorePosition NewestRemoval;
   for (const RowChange &Change : Changes)
     if (Change.Removed)
       NewestRemoval = std::max(NewestRemoval, Change.Row.Version);
-  if (NewestRemoval == 0 || (NewestRemoval > DefiniteVersion && !LapsesEnd))
+  if (NewestRemoval == StorePosition() ||
+      (NewestRemoval > DefiniteVersion && !LapsesEnd))
     return lapseGrace(Now);
   if (NewestRemoval <= DefiniteVersion)
     return Duration(0);
@@ -130,13 +162,16 @@
 
 std::vector<RowChange>
 TableFollower::onPeerChanges(std::span<const RowChange> Changes,
-                             std::uint64_t Version) {
+                             StorePosition Version) {
   return Copy.apply(Changes, Version);
 }
 
 std::vector<RowChange>
-TableFollower::onPeerSnapshot(const TableSnapshot &Snapshot) {
-  return Copy.replace(Snapshot);
+TableFollower::onPeerSnapshot(const TableSnapshot &Snapshot,
+                              Duration LapseGrace, Instant Now) {
+  // A grace period does not start again at each host that passes it on.
+  return replaceCopy(Snapshot,
+                     Now - LapseWindow + std::min(LapseGrace, LapseWindow));
 }
 
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/replica/table_follower.hpp
+++ b/src/masticgap/coordination/replica/table_follower.hpp
@@ -4,7 +4,6 @@
 #include "masticgap/state/time.hpp"
 
 #include <algorithm>
-#include <cstdint>
 #include <optional>
 #include <random>
 #include <variant>
@@ -18,7 +17,7 @@
 };
 //! Wait for changes after a version.
 struct AwaitChanges {
-  std::uint64_t AfterVersion = 0;
+  StorePosition AfterVersion;
   Duration MaxWait{0};       //!< At the store.
   Duration MaxReaderWait{0}; //!< At a host that reads the store for others.
   friend bool operator==(const AwaitChanges &, const AwaitChanges &) = default;
@@ -69,34 +68,45 @@
   std::vector<RowChange> onTableRead(const TableSnapshot &Snapshot,
                                      Instant Now);
   std::vector<RowChange> onChanges(std::span<const RowChange> Changes,
-                                   std::uint64_t Version, Instant Now);
+                                   StorePosition Version, Instant Now);
+  //! Records the era of an answer of the store, also of one that refuses a
+  //! call. If the copy is of an earlier era, the next call reads the table at
+  //! once, without the backoff of an outage.
+  //! \returns whether that read is needed and was not known to be needed.
+  bool onEra(StoreEra Era, Instant Now);
   //! Records a failed call.
   void failed(StoreFailure Reason, Instant Now);
   //! Applies changes of a peer. Does not affect the calls of this host.
   std::vector<RowChange> onPeerChanges(std::span<const RowChange> Changes,
-                                       std::uint64_t Version);
+                                       StorePosition Version);
   //! Applies a snapshot of a peer. Does not affect the calls of this host.
-  std::vector<RowChange> onPeerSnapshot(const TableSnapshot &Snapshot);
+  //! \param LapseGrace remaining grace period that the peer states.
+  std::vector<RowChange> onPeerSnapshot(const TableSnapshot &Snapshot,
+                                        Duration LapseGrace, Instant Now);
 
   const ReplicatedTable &table() const { return Copy; }
   //! Returns whether a peer that has a version has changes that this copy
   //! lacks.
-  bool isBehind(std::uint64_t PeerVersion) const {
+  bool isBehind(StorePosition PeerVersion) const {
     return PeerVersion > Copy.version();
   }
+  //! Returns when the store returned with the copy's era, or nothing if the
+  //! copy was of no earlier era.
+  std::optional<Instant> eraStart() const { return EraStart; }
   //! Returns whether the last call was answered.
   bool isConnected() const { return Failures == 0 && AnsweredOnce; }
   //! Records that a peer sent new changes that it got from the store.
   void recordPeerChanges(Instant Now) { LastPeerChanges = Now; }
   //! Returns for how long a registration whose removal arrives now from the
   //! store may still be renewed, because it may have lapsed while the store was
-  //! unavailable. Zero if the removal is definite: the store has answered this
-  //! host for some time, a peer got new changes from it in the meantime, or the
-  //! last missing answer was due too long ago.
+  //! unavailable, or was lost in a restore. Zero if the removal is definite:
+  //! the store has answered this host in its era for some time, a peer got new
+  //! changes from it after the outage began, or the last missing answer was due
+  //! too long ago.
   Duration lapseGrace(Instant Now) const;
   //! Records that the removals up to a version are no lapses: they came from
   //! the store or a peer that it serves.
-  void recordDefiniteRemovals(std::uint64_t Version) {
+  void recordDefiniteRemovals(StorePosition Version) {
     DefiniteVersion = std::max(DefiniteVersion, Version);
   }
   //! Records that removals that arrived may be lapses until the given time.
@@ -112,6 +122,13 @@
 private:
   FollowerCall chooseCall();
   void answered(Instant Now);
+  //! Returns lapseGrace() without the effect of a restore.
+  Duration outageGrace(Instant Now) const;
+  //! Replaces the copy.
+  //! \param Returned when the store returned, if the snapshot is of a later
+  //! era.
+  std::vector<RowChange> replaceCopy(const TableSnapshot &Snapshot,
+                                     Instant Returned);
 
   FollowerTiming Timing;
   std::mt19937_64 Random;
@@ -129,8 +146,10 @@
   Instant LastMissedAnswer;
   Instant Reconnected; //!< When an answer ended that series.
   std::optional<Instant> LastPeerChanges;
-  std::uint64_t DefiniteVersion = 0; //!< Removals up to it are no lapses.
-  std::optional<Instant> LapsesEnd;  //!< For the removals that may be lapses.
+  StorePosition DefiniteVersion;    //!< Removals up to it are no lapses.
+  std::optional<Instant> LapsesEnd; //!< For the removals that may be lapses.
+  std::optional<Instant> EraStart;  //!< See eraStart().
+  StoreEra NewestEra = 0;           //!< Of the store's answers.
 };
 
 } // namespace masticgap::coordination
--- a/standins/store/store_server.cpp
+++ b/standins/store/store_server.cpp
@@ -63,8 +63,8 @@
           Io, {Bind.Address, 0}, {},
           [this](const HttpRequest &Request, const HttpServer::Reply &Reply) {
             if (RejectsOnSecondAddress)
-              return Reply(transport::jsonResponse(
-                  Request, http::status::service_unavailable, "{}"));
+              return Reply(
+                  answer(Request, http::status::service_unavailable, "{}"));
             handle(Request, Reply);
           }) {}
 
@@ -72,26 +72,62 @@
 
 void StoreServer::put(const std::string &Table, const std::string &Key,
                       const std::string &Value) {
-  Tables[Table][Key] = {Value, ++Version, false};
+  Now.Tables[Table][Key] = {Value, ++Now.Version, false};
   answerChangedFeeds();
 }
 
 void StoreServer::remove(const std::string &Table, const std::string &Key) {
-  Tables[Table][Key] = {{}, ++Version, true};
+  Now.Tables[Table][Key] = {{}, ++Now.Version, true};
   answerChangedFeeds();
 }
 
 void StoreServer::setMode(StoreMode New) { Mode = New; }
 
 void StoreServer::forgetHistory() {
-  Oldest = ++Version;
-  for (const auto &Feed : std::exchange(PendingFeeds, {})) {
+  Now.Oldest = ++Now.Version;
+  answerUnknownFeeds();
+}
+
+void StoreServer::answerUnknownFeeds() {
+  std::list<std::shared_ptr<PendingFeed>> Due;
+  for (auto It = PendingFeeds.begin(); It != PendingFeeds.end();) {
+    const auto Next = std::next(It);
+    if (!hasVersion((*It)->After))
+      Due.splice(Due.end(), PendingFeeds, It);
+    It = Next;
+  }
+  for (const auto &Feed : Due) {
     Feed->Timer.cancel();
-    Feed->Reply(
-        transport::jsonResponse(Feed->Request, http::status::gone, "{}"));
+    Feed->Reply(answer(Feed->Request, http::status::gone, "{}"));
   }
 }
 
+void StoreServer::takeCopy() { Copy = Now; }
+
+void StoreServer::restore() {
+  Now = Copy;
+  ++Era;
+  answerUnknownFeeds();
+}
+
+bool StoreServer::contains(const std::string &Table,
+                           const std::string &Key) const {
+  const auto TableRows = Now.Tables.find(Table);
+  if (TableRows == Now.Tables.end())
+    return false;
+  const auto Entry = TableRows->second.find(Key);
+  return Entry != TableRows->second.end() && !Entry->second.Removed;
+}
+
+transport::HttpResponse StoreServer::answer(const HttpRequest &Request,
+                                            http::status Status,
+                                            const std::string &Body) const {
+  transport::HttpResponse Answer =
+      transport::jsonResponse(Request, Status, Body);
+  Answer.set("Store-Era", std::to_string(Era));
+  return Answer;
+}
+
 void StoreServer::handle(const HttpRequest &Request,
                          const HttpServer::Reply &Reply) {
   const auto Path = transport::targetPath(target(Request));
@@ -103,21 +139,21 @@
     return;
   }
   if (Mode != StoreMode::Serve)
-    return Reply(transport::jsonResponse(Request,
-                                         Mode == StoreMode::Refuse
-                                             ? http::status::service_unavailable
-                                             : http::status::too_many_requests,
-                                         "{}"));
+    return Reply(answer(Request,
+                        Mode == StoreMode::Refuse
+                            ? http::status::service_unavailable
+                            : http::status::too_many_requests,
+                        "{}"));
   if (Path == ReadPath)
-    return Reply(transport::jsonResponse(
-        Request, http::status::ok,
-        rowsBody(transport::queryParameter(target(Request), "table"), 0,
-                 false)));
+    return Reply(
+        answer(Request, http::status::ok,
+               rowsBody(transport::queryParameter(target(Request), "table"), 0,
+                        false)));
   if (Path == FeedPath)
     return feed(Request, Reply);
   if (Path == WritePath)
     return write(Request, Reply);
-  Reply(transport::jsonResponse(Request, http::status::not_found, "{}"));
+  Reply(answer(Request, http::status::not_found, "{}"));
 }
 
 void StoreServer::control(const HttpRequest &Request,
@@ -136,17 +172,21 @@
     setMode(StoreMode::Silent);
   else if (NewMode == "forget")
     forgetHistory();
+  else if (NewMode == "copy")
+    takeCopy();
+  else if (NewMode == "restore")
+    restore();
   if (const std::string Table = Parameter("put"); !Table.empty())
     put(Table, Parameter("key"), Request.body());
   if (const std::string Table = Parameter("remove"); !Table.empty())
     remove(Table, Parameter("key"));
-  Reply(transport::jsonResponse(Request, http::status::ok, "{}"));
+  Reply(answer(Request, http::status::ok, "{}"));
 }
 
 bool StoreServer::hasChanges(const std::string &Table,
                              std::uint64_t After) const {
-  const auto TableRows = Tables.find(Table);
-  return TableRows != Tables.end() &&
+  const auto TableRows = Now.Tables.find(Table);
+  return TableRows != Now.Tables.end() &&
          std::ranges::any_of(TableRows->second, [&](const auto &Entry) {
            return Entry.second.Version > After;
          });
@@ -155,7 +195,8 @@
 std::string StoreServer::rowsBody(const std::string &Table, std::uint64_t After,
                                   bool WithRemoved) const {
   json::array List;
-  if (const auto TableRows = Tables.find(Table); TableRows != Tables.end()) {
+  if (const auto TableRows = Now.Tables.find(Table);
+      TableRows != Now.Tables.end()) {
     for (const auto &[Key, Row] : TableRows->second) {
       if (Row.Version <= After || (Row.Removed && !WithRemoved))
         continue;
@@ -173,7 +214,7 @@
   json::object Body;
   Body["rows"] = std::move(List);
   Body["has_more"] = false;
-  Body["schema_version"] = Version;
+  Body["schema_version"] = Now.Version;
   Body["now"] = "1ms";
   return json::serialize(Body);
 }
@@ -183,8 +224,8 @@
   auto Pending = std::make_shared<PendingFeed>(Io, Request, Reply);
   Pending->Table = transport::queryParameter(target(Request), "table");
   Pending->After = number(transport::queryParameter(target(Request), "after"));
-  if (Pending->After < Oldest)
-    return Reply(transport::jsonResponse(Request, http::status::gone, "{}"));
+  if (!hasVersion(Pending->After))
+    return Reply(answer(Request, http::status::gone, "{}"));
   PendingFeeds.push_back(Pending);
   Pending->Timer.expires_after(std::chrono::milliseconds(
       number(transport::queryParameter(target(Request), "wait_ms"))));
@@ -195,8 +236,8 @@
     const auto Due = WeakPending.lock();
     if (Failure || !Due || std::erase(PendingFeeds, Due) == 0)
       return;
-    Due->Reply(transport::jsonResponse(Due->Request, http::status::ok,
-                                       rowsBody(Due->Table, Due->After, true)));
+    Due->Reply(answer(Due->Request, http::status::ok,
+                      rowsBody(Due->Table, Due->After, true)));
   });
   answerChangedFeeds();
 }
@@ -215,9 +256,8 @@
     if (Mode == StoreMode::Silent)
       Unanswered.push_back(Feed->Reply);
     else
-      Feed->Reply(
-          transport::jsonResponse(Feed->Request, http::status::ok,
-                                  rowsBody(Feed->Table, Feed->After, true)));
+      Feed->Reply(answer(Feed->Request, http::status::ok,
+                         rowsBody(Feed->Table, Feed->After, true)));
   }
 }
 
@@ -226,15 +266,15 @@
   json::error_code Failure;
   const json::value Body = json::parse(Request.body(), Failure);
   if (Failure || !Body.is_object())
-    return Reply(
-        transport::jsonResponse(Request, http::status::bad_request, "{}"));
+    return Reply(answer(Request, http::status::bad_request, "{}"));
   for (const json::value &Item : Body.as_object().at("puts").as_array()) {
     const json::object &Put = Item.as_object();
     put(text(Put.at("table")), text(Put.at("key")),
         platform::decodeBase64(text(Put.at("value"))).value_or(""));
   }
-  Reply(transport::jsonResponse(Request, http::status::ok,
-                                rowsBody("", Version, false)));
+  if (std::exchange(RestoresAtWrite, false))
+    restore();
+  Reply(answer(Request, http::status::ok, rowsBody("", Now.Version, false)));
 }
 
 } // namespace masticgap::standins
--- a/standins/store/store_server.hpp
+++ b/standins/store/store_server.hpp
@@ -45,6 +45,16 @@
   //! Forgets all changes; pending feeds, and feeds that request changes from
   //! before now, get 410.
   void forgetHistory();
+  //! Keeps a copy of all tables and of the version.
+  void takeCopy();
+  //! Returns to the last copy and starts the next era. Pending feeds from
+  //! versions that the copy does not have get 410.
+  void restore();
+  //! Restores the copy after the next write of a host, before its answer, which
+  //! states the next era.
+  void restoreAtNextWrite() { RestoresAtWrite = true; }
+  coordination::StoreEra era() const { return Era; }
+  bool contains(const std::string &Table, const std::string &Key) const;
   std::uint64_t calls() const { return Calls; }
 
 private:
@@ -71,9 +81,26 @@
   void answerChangedFeeds();
 
   boost::asio::io_context &Io;
-  std::map<std::string, Rows> Tables;
-  std::uint64_t Version = 1;
-  std::uint64_t Oldest = 0; //!< Feeds from before this version get 410.
+  //! Answers with the header that states the era.
+  transport::HttpResponse answer(const transport::HttpRequest &Request,
+                                 boost::beast::http::status Status,
+                                 const std::string &Body) const;
+  //! Answers the feeds from versions that are not stored with 410.
+  void answerUnknownFeeds();
+  bool hasVersion(std::uint64_t After) const {
+    return After >= Now.Oldest && After <= Now.Version;
+  }
+
+  //! What a restore returns to.
+  struct Content {
+    std::map<std::string, Rows> Tables;
+    std::uint64_t Version = 1;
+    std::uint64_t Oldest = 0; //!< Feeds from before this version get 410.
+  };
+  Content Now;
+  Content Copy;
+  coordination::StoreEra Era = 1;
+  bool RestoresAtWrite = false;
   std::uint64_t Calls = 0;
   StoreMode Mode = StoreMode::Serve;
   //! Feeds without an answer, owned by this list only. Whoever removes one
--- a/tests/coordination/fleet/worker_directory.tests.cpp
+++ b/tests/coordination/fleet/worker_directory.tests.cpp
@@ -221,3 +221,57 @@
     CHECK(Directory.find(WorkerId("w"))->StartedAt == C.Expected);
   }
 }
+
+// Guards against an ended worker that gets requests again because a restored
+// copy of the store has its registration.
+TEST_CASE("an incarnation that ended stays ended in later eras") {
+  enum class End { Removed, RemovedLater, Lapsed, Leaving, Announced, Peer };
+  struct Case {
+    const char *Name;
+    End How;
+    StoreEra Era;      //!< Of the next registration; the worker ended in era 1.
+    std::uint64_t Run; //!< Of the next registration.
+    bool Used;
+  };
+  const Case Cases[] = {
+      {"removed", End::Removed, 2, 5, false},
+      {"removed, two eras later", End::Removed, 3, 5, false},
+      {"removed, written again in the same era", End::Removed, 1, 5, true},
+      {"removed, new incarnation", End::Removed, 2, 6, true},
+      {"removed, older incarnation", End::Removed, 2, 4, false},
+      {"possible lapse that became definite", End::RemovedLater, 2, 5, false},
+      {"possible lapse", End::Lapsed, 2, 5, true},
+      {"leaving", End::Leaving, 2, 5, false},
+      {"leaving, new incarnation", End::Leaving, 2, 6, true},
+      {"announced its leaving", End::Announced, 2, 5, false},
+      {"a peer knows", End::Peer, 2, 5, false},
+      {"a peer knows, same era", End::Peer, 1, 5, true},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    WorkerDirectory Directory;
+    Directory.setEra(1);
+    const WorkerId Id("w");
+    if (C.How != End::Peer)
+      Directory.recordRegistration(registration("w", 5, C.How == End::Leaving),
+                                   Start);
+    if (C.How == End::Announced)
+      Directory.recordLeaving(Id, Incarnation{5});
+    if (C.How == End::Removed)
+      Directory.recordRemovals({Id}, 0s, Start);
+    if (C.How == End::RemovedLater || C.How == End::Lapsed)
+      Directory.recordRemovals({Id}, 2s, Start);
+    if (C.How == End::RemovedLater)
+      Directory.recordDefiniteRemoval(Id);
+    Directory.setEra(C.Era);
+    Directory.recordRegistration(registration("w", C.Run), Start);
+    if (C.How == End::Peer)
+      CHECK(Directory.recordEnded(Id, {Incarnation{5}, 1}) == !C.Used);
+    CHECK((exclusionOf(Directory, Start) == WorkerExclusion::None) == C.Used);
+    // A further era changes nothing.
+    Directory.setEra(9);
+    Directory.recordRegistration(registration("w", C.Run), Start);
+    if (C.Era > 1)
+      CHECK((exclusionOf(Directory, Start) == WorkerExclusion::None) == C.Used);
+  }
+}
--- a/tests/coordination/replica/table_follower.tests.cpp
+++ b/tests/coordination/replica/table_follower.tests.cpp
@@ -10,6 +10,9 @@
 
 constexpr Instant Start{1000s};
 
+//! Returns a position in the first era.
+constexpr StorePosition at(std::uint64_t Version) { return {0, Version}; }
+
 bool isRead(const FollowerCall &Call) {
   return std::holds_alternative<ReadTable>(Call);
 }
@@ -18,7 +21,7 @@
 TableFollower loaded(Instant Now) {
   TableFollower Follower({}, 1);
   Follower.nextCall(Now);
-  Follower.onTableRead({{{"a", "1", 7}}, 10}, Now);
+  Follower.onTableRead({{{"a", "1", at(7)}}, at(10)}, Now);
   return Follower;
 }
 
@@ -35,11 +38,11 @@
   TableFollower Follower({}, 1);
   CHECK(isRead(Follower.nextCall(Start)));
   CHECK_FALSE(Follower.isConnected());
-  Follower.onTableRead({{{"a", "1", 7}}, 10}, Start);
+  Follower.onTableRead({{{"a", "1", at(7)}}, at(10)}, Start);
   CHECK(Follower.isConnected());
   const FollowerCall Next = Follower.nextCall(Start + 1s);
   REQUIRE(std::holds_alternative<AwaitChanges>(Next));
-  CHECK(std::get<AwaitChanges>(Next).AfterVersion == 10);
+  CHECK(std::get<AwaitChanges>(Next).AfterVersion == at(10));
 }
 
 // Guards against a host that misses changes whose history was discarded, also
@@ -49,18 +52,18 @@
   Follower.failed(StoreFailure::HistoryGone, Start + 1s);
   CHECK(isRead(Follower.nextCall(Start + 1s)));
   CHECK(Follower.isConnected());
-  CHECK(Follower.onTableRead({{{"a", "1", 7}}, 9}, Start + 1s).empty());
+  CHECK(Follower.onTableRead({{{"a", "1", at(7)}}, at(9)}, Start + 1s).empty());
   CHECK(backoff(Follower, Start + 1s) > 0ms);
   CHECK(isRead(Follower.nextCall(Start + 2s)));
-  Follower.onTableRead({{{"b", "2", 12}}, 12}, Start + 2s);
-  CHECK(Follower.table().version() == 12);
+  Follower.onTableRead({{{"b", "2", at(12)}}, at(12)}, Start + 2s);
+  CHECK(Follower.table().version() == at(12));
   CHECK(std::holds_alternative<AwaitChanges>(Follower.nextCall(Start + 3s)));
 }
 
 TEST_CASE("repeatedly lost history does not cause a tight loop") {
   TableFollower Follower = loaded(Start);
   Follower.failed(StoreFailure::HistoryGone, Start);
-  Follower.onTableRead({{}, 11}, Start);
+  Follower.onTableRead({{}, at(11)}, Start);
   Follower.failed(StoreFailure::HistoryGone, Start + 100ms);
   CHECK(backoff(Follower, Start + 100ms) > 0ms);
 }
@@ -82,7 +85,7 @@
     CHECK_FALSE(Follower.isConnected());
   }
   CHECK(MaxSeen >= 1s);
-  Follower.onChanges({}, 10, Now);
+  Follower.onChanges({}, at(10), Now);
   CHECK(Follower.isConnected());
 }
 
@@ -118,7 +121,7 @@
     if (C.PeerChangesAfter)
       Follower.recordPeerChanges(Start + *C.PeerChangesAfter);
     if (C.ReconnectedAfter)
-      Follower.onChanges({}, 10, Start + *C.ReconnectedAfter);
+      Follower.onChanges({}, at(10), Start + *C.ReconnectedAfter);
     CHECK(Follower.lapseGrace(Start + C.CheckedAfter) == C.Expected);
   }
 }
@@ -135,9 +138,9 @@
     bool Connected;
     Duration Expected;
   };
-  const RowChange Written{{"b", "1", 13}, false};
-  const RowChange Removed{{"a", {}, 12}, true};
-  const RowChange RemovedLater{{"c", {}, 14}, true};
+  const RowChange Written{{"b", "1", at(13)}, false};
+  const RowChange Removed{{"a", {}, at(12)}, true};
+  const RowChange RemovedLater{{"c", {}, at(14)}, true};
   const Case Cases[] = {
       {"definite", {Removed}, 12, false, 0s},
       {"definite, with other changes", {Removed, Written}, 12, false, 0s},
@@ -151,9 +154,9 @@
     TableFollower Follower = loaded(Start);
     if (!C.Connected)
       Follower.failed(StoreFailure::Unavailable, Start + 4s);
-    Follower.onPeerChanges(C.Changes, 14);
+    Follower.onPeerChanges(C.Changes, at(14));
     if (C.DefiniteVersion > 0)
-      Follower.recordDefiniteRemovals(C.DefiniteVersion);
+      Follower.recordDefiniteRemovals(at(C.DefiniteVersion));
     CHECK(Follower.passedOnGrace(C.Changes, Start + 4500ms) == C.Expected);
   }
 }
@@ -167,8 +170,8 @@
   for (const Case &C : {Case{0s, 1500ms}, Case{1s, 500ms}, Case{2s, 0s}}) {
     CAPTURE(C.After.count());
     TableFollower Follower = loaded(Start);
-    const RowChange Removed{{"a", {}, 12}, true};
-    Follower.onPeerChanges({{Removed}}, 12);
+    const RowChange Removed{{"a", {}, at(12)}, true};
+    Follower.onPeerChanges({{Removed}}, at(12));
     Follower.recordPossibleLapses(Start + 1500ms);
     CHECK(Follower.passedOnGrace({{Removed}}, Start + C.After) == C.Expected);
   }
@@ -197,14 +200,14 @@
       CAPTURE(C.Name);
       CAPTURE(Seed);
       TableFollower Follower({}, Seed);
-      Follower.onTableRead({{{"w", "1", 7}}, 10}, Start);
+      Follower.onTableRead({{{"w", "1", at(7)}}, at(10)}, Start);
       const Instant Return = Start + 1s + Outage;
       const Instant Removed = Return + C.RemovedAfter;
-      const std::vector<RowChange> Removal{{{"w", {}, 12}, true}};
+      const std::vector<RowChange> Removal{{{"w", {}, at(12)}, true}};
       // The store refuses calls in the outage and cuts those that wait.
       Follower.failed(StoreFailure::Unavailable, Start + 1s);
       Instant Now = Start + 1s;
-      while (Follower.table().version() < 12) {
+      while (Follower.table().version() < at(12)) {
         const FollowerCall Call = Follower.nextCall(Now);
         if (const auto *Until = std::get_if<WaitUntil>(&Call)) {
           Now = Until->Time;
@@ -215,7 +218,7 @@
           const bool Seen = Removed <= WaitEnd;
           Now = Seen ? std::max(Now, Removed) : WaitEnd;
           Follower.onChanges(Seen ? Removal : std::vector<RowChange>(),
-                             Seen ? 12 : 10, Now);
+                             at(Seen ? 12 : 10), Now);
         }
       }
       const Duration End = Now + Follower.lapseGrace(Now) - Return;
@@ -233,7 +236,7 @@
   for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
     CAPTURE(Seed);
     TableFollower Follower = TableFollower({}, Seed);
-    Follower.onTableRead({{{"a", "1", 7}}, 10}, Start);
+    Follower.onTableRead({{{"a", "1", at(7)}}, at(10)}, Start);
     const FollowerCall Call = Follower.nextCall(Start + 1s);
     REQUIRE(std::holds_alternative<AwaitChanges>(Call));
     const Instant Failed =
@@ -266,12 +269,12 @@
       CAPTURE(C.Name);
       CAPTURE(Seed);
       TableFollower Follower({}, Seed);
-      Follower.onTableRead({{{"w", "1", 7}}, 10}, Start);
+      Follower.onTableRead({{{"w", "1", at(7)}}, at(10)}, Start);
       Follower.failed(StoreFailure::Unavailable, Start + 1s);
       const Instant Return = Start + 6s + Seed * 20ms;
       const Instant Removed = Return + C.RemovedAfter;
       Instant Now = Start + 1s;
-      while (Follower.table().version() < 12) {
+      while (Follower.table().version() < at(12)) {
         const FollowerCall Call = Follower.nextCall(Now);
         if (const auto *Until = std::get_if<WaitUntil>(&Call)) {
           Now = Until->Time;
@@ -282,9 +285,9 @@
           const Instant WaitEnd = Now + std::get<AwaitChanges>(Call).MaxWait;
           const bool Seen = Removed <= WaitEnd;
           Now = Seen ? std::max(Now, Removed) : WaitEnd;
-          const std::vector<RowChange> Removal{{{"w", {}, 12}, true}};
+          const std::vector<RowChange> Removal{{{"w", {}, at(12)}, true}};
           Follower.onChanges(Seen ? Removal : std::vector<RowChange>(),
-                             Seen ? 12 : 10, Now);
+                             at(Seen ? 12 : 10), Now);
         }
       }
       const Duration End = Now + Follower.lapseGrace(Now) - Return;
@@ -295,7 +298,66 @@
 
 TEST_CASE("a peer's snapshot is applied only if it is not older") {
   TableFollower Follower = loaded(Start);
-  CHECK(Follower.onPeerSnapshot({{{"a", "0", 3}}, 9}).empty());
-  CHECK(Follower.onPeerSnapshot({{{"b", "2", 12}}, 12}).size() == 2);
-  CHECK(Follower.table().version() == 12);
+  CHECK(
+      Follower.onPeerSnapshot({{{"a", "0", at(3)}}, at(9)}, 0s, Start).empty());
+  CHECK(Follower.onPeerSnapshot({{{"b", "2", at(12)}}, at(12)}, 0s, Start)
+            .size() == 2);
+  CHECK(Follower.table().version() == at(12));
+}
+
+// Guards against a host that waits for versions of a store that no longer has
+// them, and against one that goes back to an answer from before a restore.
+TEST_CASE("a rise of the store's era leads to a full read at once") {
+  struct Case {
+    const char *Name;
+    bool InOutage;
+    StoreEra Era; //!< Stated by an answer; the copy is of era 2.
+    bool ReadsAtOnce;
+  };
+  const Case Cases[] = {
+      {"later era", false, 3, true},
+      {"later era after an outage", true, 3, true},
+      {"same era", false, 2, false},
+      {"earlier era", false, 1, false},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    TableFollower Follower({}, 1);
+    Follower.nextCall(Start);
+    Follower.onTableRead({{{"a", "1", {2, 7}}}, {2, 10}}, Start);
+    if (C.InOutage)
+      for (int I = 0; I < 8; ++I)
+        Follower.failed(StoreFailure::Unavailable, Start);
+    CHECK(Follower.onEra(C.Era, Start) == C.ReadsAtOnce);
+    CHECK(isRead(Follower.nextCall(Start)) == C.ReadsAtOnce);
+    // Repeated failures of the read have the backoff of an outage.
+    Follower.failed(StoreFailure::Unavailable, Start);
+    CHECK_FALSE(Follower.onEra(C.Era, Start));
+    CHECK(backoff(Follower, Start) > 0ms);
+    const auto Changes =
+        Follower.onTableRead({{{"b", "2", {C.Era, 1}}}, {C.Era, 2}}, Start);
+    CHECK(Changes.empty() != C.ReadsAtOnce);
+    CHECK(Follower.eraStart().has_value() == C.ReadsAtOnce);
+    // A row that the copy lacks may be written again for 2 s.
+    if (C.ReadsAtOnce) {
+      CHECK(Follower.lapseGrace(Start + 500ms) == 1500ms);
+      CHECK(Follower.lapseGrace(Start + 2s) == 0s);
+    }
+  }
+}
+
+// Guards against a grace period that starts again at each host.
+TEST_CASE("a later era from a peer keeps the peer's grace period") {
+  for (const Duration Grace : {0ms, 500ms, 2000ms, 9000ms}) {
+    CAPTURE(Grace.count());
+    TableFollower Follower = loaded(Start);
+    const std::vector<RowChange> Late{{{"c", "1", {0, 12}}, false}};
+    CHECK(Follower.onPeerSnapshot({{{"b", "2", {1, 1}}}, {1, 2}}, Grace, Start)
+              .size() == 2);
+    CHECK(Follower.lapseGrace(Start) == std::min<Duration>(Grace, 2s));
+    // A reader that has not seen the restore is not asked without a pause.
+    CHECK(Follower.onChanges(Late, at(12), Start).empty());
+    CHECK(backoff(Follower, Start) >= 1s);
+    CHECK(Follower.table().version() == StorePosition(1, 2));
+  }
 }
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -144,6 +144,40 @@
   runOnStore([](auto &Server) { Server.forgetHistory(); });
 }
 
+void GatewayFixture::copyStore() {
+  runOnStore([](auto &Server) { Server.takeCopy(); });
+}
+
+void GatewayFixture::restoreStore() {
+  runOnStore([](auto &Server) { Server.restore(); });
+}
+
+void GatewayFixture::restoreStoreAtNextWrite() {
+  runOnStore([](auto &Server) { Server.restoreAtNextWrite(); });
+}
+
+unsigned GatewayFixture::storeRestores() {
+  unsigned Era = 0;
+  runOnStore([&](auto &Server) { Era = Server.era(); });
+  return Era - 1;
+}
+
+bool GatewayFixture::isAnnounced() {
+  bool Announced = false;
+  runOnStore([&](auto &Server) {
+    Announced = Server.contains("masticgap_hosts", Settings.Host.value());
+  });
+  return Announced;
+}
+
+void GatewayFixture::putEvacuation(const std::string &Domain) {
+  runOnStore([&](auto &Server) { Server.put("op", "evacuate/" + Domain, ""); });
+}
+
+void GatewayFixture::endEvacuation(const std::string &Domain) {
+  runOnStore([&](auto &Server) { Server.remove("op", "evacuate/" + Domain); });
+}
+
 void GatewayFixture::rejectSecondGateway(bool Reject) {
   runOnStore([&](auto &Server) { Server.shutSideDoor(Reject); });
 }
@@ -228,8 +262,8 @@
   }
 }
 
-unsigned GatewayFixture::knownWorkers() {
-  constexpr std::string_view Gauge = "\nmasticgap_workers_known ";
+unsigned GatewayFixture::gauge(const std::string &Name) {
+  const std::string Gauge = "\nmasticgap_" + Name + " ";
   const auto Text =
       get({Settings.Traffic.Address, Settings.MetricsPort}, "/metrics");
   REQUIRE(Text);
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -39,6 +39,17 @@
   void setStore(standins::StoreMode Mode);
   //! Ends the feeds of the store; gateways have to read its tables again.
   void forgetHistory();
+  //! Keeps a copy of the store.
+  void copyStore();
+  //! Returns the store to that copy.
+  void restoreStore();
+  void restoreStoreAtNextWrite();
+  //! Returns how often the store was restored.
+  unsigned storeRestores();
+  //! Returns whether the gateway's own row is in the store.
+  bool isAnnounced();
+  void putEvacuation(const std::string &Domain);
+  void endEvacuation(const std::string &Domain);
   //! Sets whether the store rejects a second gateway.
   void rejectSecondGateway(bool Reject);
 
@@ -67,11 +78,14 @@
   std::optional<transport::HttpResponse> get(const Endpoint &From,
                                              const std::string &Target);
   //! Returns the number of workers that the gateway knows.
-  unsigned knownWorkers();
+  unsigned knownWorkers() { return gauge("workers_known"); }
+  //! Returns the version of the configuration in force.
+  unsigned configVersion() { return gauge("config_version"); }
 
   const gateway::GatewaySettings &settings() const { return Settings; }
 
 private:
+  unsigned gauge(const std::string &Name);
   void chooseFreePorts();
   bool tryStart();
   void runOnStore(const std::function<void(standins::StoreServer &)> &Action);
--- a/tests/gateway/peer_exchange.tests.cpp
+++ b/tests/gateway/peer_exchange.tests.cpp
@@ -29,7 +29,7 @@
 //! within its functions, so the test decides which events share a turn.
 struct QueriedHost {
   asio::io_context Io{1};
-  PeerUpdate Update{{}, 1, false, {}};
+  PeerUpdate Update{{}, {0, 1}, false, {}, {}, {}, {}};
   std::unique_ptr<PeerExchange> Exchange = std::make_unique<PeerExchange>(
       Io, Endpoint{"127.0.0.1", 0}, [this](const PeerUpdateQuery &Query) {
         ++Lookups;
@@ -58,8 +58,8 @@
   }
 
   void change(std::string Value = "new") {
-    Update.Version = 2;
-    Update.Changes = {{{"config", std::move(Value), 2}, false}};
+    Update.Version = {0, 2};
+    Update.Changes = {{{"config", std::move(Value), {0, 2}}, false}};
     Exchange->notify();
   }
 
@@ -136,7 +136,7 @@
       const auto Answer =
           decodeUpdate(Received.substr(Received.find("\r\n\r\n") + 4));
       REQUIRE(Answer);
-      CHECK(Answer->Version == C.Version);
+      CHECK(Answer->Version.Version == C.Version);
       CHECK(Answer->Changes.size() == C.Version - 1);
     }
     CHECK(Host.Lookups == C.Lookups);
@@ -216,21 +216,39 @@
 // Guards against memory that is allocated because a size in a peer's answer is
 // wrong, and against flags that are neither true nor false.
 TEST_CASE("a malformed answer of a peer is rejected") {
+  const coordination::StorePosition At{2, 9};
   const PeerUpdate Update{
-      {{{"w1", std::string(100000, 'v'), 7}, false}, {{"w2", "", 8}, true}},
-      9,
+      {{{"w1", std::string(100000, 'v'), At}, false}, {{"w2", "", At}, true}},
+      At,
       true,
-      std::chrono::milliseconds(1500)};
+      std::chrono::milliseconds(1500),
+      {{"config", "c", At}},
+      std::chrono::milliseconds(2500),
+      {{WorkerId("w3"), {Incarnation{5}, 1}}}};
   const std::string Good = encodeUpdate(Update);
   const auto Read = decodeUpdate(Good);
   REQUIRE(Read);
   CHECK(Read->Changes == Update.Changes);
-  CHECK(Read->Version == 9);
+  CHECK(Read->Version == At);
   CHECK(Read->IsSnapshot);
   CHECK(Read->LapseGrace == Update.LapseGrace);
-  // Hosts of earlier versions state only that there is a grace period.
+  CHECK(Read->Held == Update.Held);
+  CHECK(Read->HeldGrace == Update.HeldGrace);
+  CHECK(Read->Ended == Update.Ended);
+  // Hosts of earlier versions send neither held rows nor ended incarnations:
+  // a row and a grace period, and an id, incarnation and era.
+  constexpr std::size_t HeldBytes = 8 + (8 + 6 + 8 + 1 + 8) + 4;
+  constexpr std::size_t EndedBytes = 8 + (8 + 2 + 8 + 2);
+  const std::string Earlier =
+      Good.substr(0, Good.size() - HeldBytes - EndedBytes);
+  const auto Unheld = decodeUpdate(Earlier);
+  REQUIRE(Unheld);
+  CHECK(Unheld->LapseGrace == Update.LapseGrace);
+  CHECK(Unheld->Held.empty());
+  // Hosts of still earlier versions state only that there is a grace period.
   constexpr std::size_t GraceBytes = 4;
-  const auto Unstated = decodeUpdate(Good.substr(0, Good.size() - GraceBytes));
+  const auto Unstated =
+      decodeUpdate(Earlier.substr(0, Earlier.size() - GraceBytes));
   REQUIRE(Unstated);
   CHECK(Unstated->LapseGrace == std::chrono::seconds(2));
 
@@ -260,12 +278,14 @@
   // The sizes that can be allocated are of 256 MiB and more.
   CHECK(peakKilobytes() - Before < 64 * 1024);
   for (const std::size_t FromEnd : {GraceBytes + 1, GraceBytes + 2}) {
-    std::string Changed = Good;
+    std::string Changed = Earlier;
     Changed[Changed.size() - FromEnd] = '\x02';
     CHECK_FALSE(decodeUpdate(Changed));
   }
-  for (const std::size_t Size : {std::size_t(0), std::size_t(1), KeySizeAt,
-                                 ValueSizeAt + 50000, Good.size() - 1}) {
+  for (const std::size_t Size :
+       {std::size_t(0), std::size_t(1), KeySizeAt, ValueSizeAt + 50000,
+        Earlier.size() - 1, Earlier.size() + 1, Good.size() - EndedBytes,
+        Good.size() - 1}) {
     CAPTURE(Size);
     CHECK_FALSE(decodeUpdate(Good.substr(0, Size)));
   }
--- a/tests/gateway/store_sync.tests.cpp
+++ b/tests/gateway/store_sync.tests.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 TableRow configRow(std::uint64_t Version) {
-  return {"config", std::to_string(Version), Version};
+  return {"config", std::to_string(Version), {0, Version}};
 }
 
 //! Another gateway, with a copy of the operator's table.
@@ -20,8 +20,9 @@
   Peer(boost::asio::io_context &Io, const std::string &Name)
       : Exchange(Io, Endpoint{"127.0.0.1", 0},
                  [this](const PeerUpdateQuery &Query) {
-                   PeerUpdate Update{{}, Version, false, {}};
-                   if (Query.AfterVersion < Version)
+                   PeerUpdate Update;
+                   Update.Version = {0, Version};
+                   if (Query.AfterVersion < Update.Version)
                      Update.Changes = {{configRow(Version), false}};
                    return Update;
                  }) {
@@ -41,7 +42,7 @@
 struct SyncedHost {
   SyncedHost() {
     Api.Store.Read = [](StoreTable, const StoreApi::ReadHandler &Done) {
-      Done(TableSnapshot{{configRow(1)}, 1});
+      Done(TableSnapshot{{configRow(1)}, {0, 1}});
     };
     Api.Store.Await = [this](StoreTable, AwaitChanges,
                              StoreApi::ChangesHandler Done) {
--- a/tests/platform/rows.tests.cpp
+++ b/tests/platform/rows.tests.cpp
@@ -170,7 +170,7 @@
 TEST_CASE("rows of the operator are distinguished by their key") {
   const gateway::RowReader Reader = makeRowReader(Domains);
   const auto Read = [&](const std::string &Key, const std::string &Value) {
-    return Reader.Operator({Key, Value, 1});
+    return Reader.Operator({Key, Value, {0, 1}});
   };
   const auto Evacuation = Read("evacuate/luz-a", "{}");
   REQUIRE(std::holds_alternative<gateway::OperatorRow>(Evacuation));
--- a/tests/platform/store_client.tests.cpp
+++ b/tests/platform/store_client.tests.cpp
@@ -13,6 +13,7 @@
 using namespace masticgap::platform;
 using namespace std::chrono_literals;
 using coordination::StoreFailure;
+using coordination::StorePosition;
 using coordination::TableSnapshot;
 using gateway::StoreTable;
 namespace http = boost::beast::http;
@@ -37,6 +38,7 @@
   struct Answer {
     unsigned Status;
     std::string Body;
+    std::string Era = {}; //!< Value of the header; empty: none.
   };
 
   explicit ScriptedStore(std::vector<Answer> Script)
@@ -49,8 +51,11 @@
                  Bodies.push_back(Request.body());
                  const Answer &Next =
                      Answers[std::min(Targets.size() - 1, Answers.size() - 1)];
-                 Reply(transport::jsonResponse(
-                     Request, http::status(Next.Status), Next.Body));
+                 auto Response = transport::jsonResponse(
+                     Request, http::status(Next.Status), Next.Body);
+                 if (!Next.Era.empty())
+                   Response.set("Store-Era", Next.Era);
+                 Reply(std::move(Response));
                }),
         Api(makeStoreApi(Io, Server.local())) {}
 
@@ -81,11 +86,11 @@
   Store.runUntil([&] { return Result.has_value(); });
   REQUIRE(std::holds_alternative<TableSnapshot>(*Result));
   const auto &Snapshot = std::get<TableSnapshot>(*Result);
-  CHECK(Snapshot.Version == 9);
+  CHECK(Snapshot.Version == StorePosition(0, 9));
   REQUIRE(Snapshot.Rows.size() == 3);
   CHECK(Snapshot.Rows[2].Key == "c");
   CHECK(Snapshot.Rows[2].Value == "v-c");
-  CHECK(Snapshot.Rows[2].Version == 11);
+  CHECK(Snapshot.Rows[2].Version == StorePosition(0, 11));
   REQUIRE(Store.Targets.size() == 2);
   CHECK(Store.Targets[0] == "/api/rows-get?table=servers&part=&limit=500");
   CHECK(Store.Targets[1] ==
@@ -143,7 +148,7 @@
     CAPTURE(C.Name);
     ScriptedStore Store({{C.Status, C.Body}});
     std::optional<std::variant<gateway::TableChanges, StoreFailure>> Result;
-    Store.Api.Await(StoreTable::Operator, {7, 2s},
+    Store.Api.Await(StoreTable::Operator, {{0, 7}, 2s},
                     [&](auto Answer) { Result = Answer; });
     Store.runUntil([&] { return Result.has_value(); });
     CHECK(Store.Targets[0] == "/api/rows-feed?table=op&after=7&wait_ms=2000");
@@ -153,7 +158,7 @@
     }
     const auto &Changes = std::get<gateway::TableChanges>(*Result);
     CHECK(static_cast<int>(Changes.Changes.size()) == C.Changes);
-    CHECK(Changes.Version == 9);
+    CHECK(Changes.Version == StorePosition(0, 9));
     if (C.Changes > 0)
       CHECK_FALSE(Changes.Changes[0].Removed);
     if (C.Changes == 2)
@@ -226,3 +231,76 @@
   CHECK(encodeBase64("node-1") == "bm9kZS0x");
   CHECK_FALSE(decodeBase64("a*b="));
 }
+
+// Guards against a snapshot with pages of two eras, and against an era that is
+// missed because the answer refuses the call.
+TEST_CASE("the store's era is read from every answer") {
+  const std::string Page = body(rowText("a", 3), 9);
+  const std::string FirstPage = body(rowText("x", 4), 9, true);
+  struct Case {
+    const char *Name;
+    std::vector<ScriptedStore::Answer> Answers;
+    std::vector<unsigned> Rises;
+    std::optional<StorePosition> Expected; //!< Of the snapshot, after one call.
+    std::size_t Rows;
+  };
+  const Case Cases[] = {
+      {"no header", {{200, Page}}, {}, StorePosition(0, 9), 1},
+      {"header", {{200, Page, "7"}}, {7}, StorePosition(7, 9), 1},
+      {"refused", {{503, "{}", "7"}}, {7}, std::nullopt, 0},
+      {"history gone", {{410, "{}", "7"}}, {7}, std::nullopt, 0},
+      {"second page without header",
+       {{200, FirstPage, "7"}, {200, Page}},
+       {7},
+       StorePosition(7, 9),
+       2},
+      {"second page of a later era",
+       {{200, FirstPage, "7"}, {200, Page, "8"}, {200, Page, "8"}},
+       {7, 8},
+       StorePosition(8, 9),
+       1},
+      {"second page of an earlier era",
+       {{200, FirstPage, "7"}, {200, Page, "6"}, {200, Page, "7"}},
+       {7},
+       StorePosition(7, 9),
+       1},
+      {"eras that alternate",
+       {{200, FirstPage, "7"},
+        {200, FirstPage, "8"},
+        {200, FirstPage, "7"},
+        {200, FirstPage, "8"},
+        {200, FirstPage, "7"},
+        {200, FirstPage, "8"},
+        {200, FirstPage, "7"},
+        {200, FirstPage, "8"}},
+       {7, 8},
+       std::nullopt,
+       0},
+      {"no number", {{200, Page, "x"}}, {}, std::nullopt, 0},
+      {"too large", {{200, Page, "65536"}}, {}, std::nullopt, 0},
+      {"version too large",
+       {{200, R"({"rows":[],"schema_version":281474976710656})", "1"}},
+       {1},
+       std::nullopt,
+       0},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    ScriptedStore Store(C.Answers);
+    std::vector<unsigned> Rises;
+    Store.Api.OnEraRise(
+        [&](coordination::StoreEra Era) { Rises.push_back(Era); });
+    std::optional<std::variant<TableSnapshot, StoreFailure>> Result;
+    Store.Api.Read(StoreTable::Workers, [&](auto Answer) { Result = Answer; });
+    Store.runUntil([&] { return Result.has_value(); });
+    CHECK(Rises == C.Rises);
+    const auto *Snapshot = std::get_if<TableSnapshot>(&*Result);
+    REQUIRE((Snapshot != nullptr) == C.Expected.has_value());
+    if (!Snapshot)
+      continue;
+    CHECK(Snapshot->Version == *C.Expected);
+    CHECK(Snapshot->Rows.size() == C.Rows);
+    for (const auto &Row : Snapshot->Rows)
+      CHECK(Row.Version.Era == C.Expected->Era);
+  }
+}
