Limit the requests of accounts over all hosts, decision part

The configuration can limit an account's requests a second over all hosts together. Until now no mechanism counts requests over all hosts.

An owner uses the live share of the members, so that parts of the fleet that cannot reach each other stay within the limit together.

--- /dev/null
+++ b/src/masticgap/coordination/account_limit/account_credit.cpp
@@ -0,0 +1,365 @@
+#include "masticgap/coordination/account_limit/account_credit.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace masticgap::coordination {
+
+namespace {
+
+//! Longest wait of a request: two round trips between regions and 20 ms for
+//! processing at hosts with little processor time.
+constexpr Duration Patience = std::chrono::milliseconds(100);
+//! Demand that is requested ahead. Half of the longest validity, so that little
+//! credit expires.
+constexpr Duration AheadTime = std::chrono::milliseconds(100);
+//! Decay of the demand estimate.
+constexpr Duration DemandDecay = std::chrono::milliseconds(200);
+//! Longest time for which a refusal of the owner answers further requests. With
+//! a round trip it stays below the time for which the bucket stores rate.
+constexpr Duration MaxHold = std::chrono::milliseconds(50);
+//! The retransmission follows this time after an ordinary round trip.
+constexpr Duration ResendMargin = std::chrono::milliseconds(5);
+//! Retry-After while the owner does not answer; its death is known to all hosts
+//! within a few seconds.
+constexpr Duration NoOwnerRetry = std::chrono::seconds(1);
+//! An unused admission of the floor is kept for this time.
+constexpr Duration FloorKept = std::chrono::seconds(1);
+//! Requests of one account that may wait at a host at the same time.
+constexpr std::size_t MaxWaiting = 512;
+constexpr double MaxAhead = 4096;
+
+double seconds(Duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+Duration fromSeconds(double Time) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Time));
+}
+
+} // namespace
+
+AccountCredit::AccountCredit(AccountLimitSettings Settings,
+                             const AccountOwners &Owners, std::uint64_t Seed)
+    : Settings(Settings), Owners(Owners), Random(Seed), NextId(Random()) {}
+
+void AccountCredit::setLimits(std::span<const AccountLimit> Limits,
+                              Instant Now) {
+  std::unordered_map<AccountKey, State> Before = std::move(States);
+  States.clear();
+  for (const AccountLimit &Limit : Limits) {
+    const auto Found = Before.find(Limit.Key);
+    State Target;
+    if (Found != Before.end()) {
+      Target = std::move(Found->second);
+      Before.erase(Found);
+    }
+    if (Limit != Target.Limit)
+      Target.HoldUntil = Target.ExpectedAt = Now;
+    Target.Limit = Limit;
+    States.emplace(Limit.Key, std::move(Target));
+  }
+  for (const auto &[Account, Target] : Before) {
+    Active.erase(Account);
+    for (const Waiter &Next : Target.Waiting)
+      Decisions.push_back({Next.Id, Admitted()});
+  }
+}
+
+void AccountCredit::ownersChanged(Instant Now) {
+  for (auto &[Account, Target] : States) {
+    if (Target.NoOwner ||
+        (Target.Open && Target.Open->Owner != Owners.owner(Account))) {
+      Target.NoOwner = false;
+      Target.Open.reset();
+      Target.HoldUntil = Target.ExpectedAt = Now;
+      if (!Target.Waiting.empty())
+        ask(Target, Now);
+      updateActive(Target);
+    }
+  }
+}
+
+std::uint32_t AccountCredit::available(State &Target, Instant Now) {
+  std::erase_if(Target.Lots, [&](const Lot &Held) {
+    return Held.Count == 0 || Held.Expires <= Now;
+  });
+  std::uint32_t Sum = 0;
+  for (const Lot &Held : Target.Lots)
+    Sum += Held.Count;
+  return Sum;
+}
+
+std::optional<Admitted> AccountCredit::take(State &Target, Instant Now) {
+  if (available(Target, Now) == 0)
+    return std::nullopt;
+  Lot &First = Target.Lots.front();
+  --First.Count;
+  return Admitted{First.Expires, true, false};
+}
+
+double AccountCredit::recentRate(const State &Target) const {
+  return Target.Demand / seconds(DemandDecay);
+}
+
+void AccountCredit::recordDemand(State &Target, Instant Now) const {
+  Target.Demand = Target.Demand * std::exp(-seconds(Now - Target.DemandAt) /
+                                           seconds(DemandDecay)) +
+                  1;
+  Target.DemandAt = Now;
+}
+
+AccountAdmission AccountCredit::admit(AccountKey Account, Instant Now) {
+  const auto Found = States.find(Account);
+  if (Found == States.end())
+    return Admitted();
+  State &Target = Found->second;
+  recordDemand(Target, Now);
+  if (Target.Waiting.empty()) {
+    if (const auto Credit = take(Target, Now)) {
+      askAhead(Target, Now);
+      return *Credit;
+    }
+  }
+  // One request at a time finds out whether the owner answers again.
+  const bool Refuse =
+      Target.NoOwner
+          ? Target.Open.has_value() || Now < Target.HoldUntil
+          : Now < Target.HoldUntil &&
+                Target.ExpectedAt + Settings.RoundTrip > Now + Patience;
+  if (Refuse || Target.Waiting.size() >= MaxWaiting) {
+    const auto Result = withoutCredit(Target, Now);
+    if (const auto *ByFloor = std::get_if<Admitted>(&Result))
+      return *ByFloor;
+    ++Target.Refused;
+    return std::get<OverLimit>(Result);
+  }
+  const std::uint64_t Id = NextWaiter++;
+  Target.Waiting.push_back({Id, Now + Patience});
+  if (!Target.Open && Now >= Target.HoldUntil)
+    ask(Target, Now);
+  updateActive(Target);
+  return AwaitCredit{Id};
+}
+
+bool AccountCredit::admitNow(AccountKey Account, Instant Now) {
+  const auto Found = States.find(Account);
+  return Found == States.end() || take(Found->second, Now).has_value();
+}
+
+void AccountCredit::cancel(AccountKey Account, std::uint64_t Id) {
+  const auto Found = States.find(Account);
+  if (Found == States.end())
+    return;
+  std::erase_if(Found->second.Waiting,
+                [&](const Waiter &Next) { return Next.Id == Id; });
+  updateActive(Found->second);
+}
+
+void AccountCredit::giveBack(AccountKey Account, const Admitted &Unused,
+                             Instant Now) {
+  const auto Found = States.find(Account);
+  if (Found == States.end() || !Unused.Limited || Unused.ByFloor ||
+      Unused.Expires <= Now)
+    return;
+  Found->second.Lots.push_front({1, Unused.Expires});
+  serveWaiting(Found->second, Now);
+  updateActive(Found->second);
+}
+
+void AccountCredit::ask(State &Target, Instant Now) {
+  const HostId &Owner = Owners.owner(Target.Limit.Key);
+  if (Owner.empty())
+    return;
+  const double Expected =
+      std::min(MaxAhead, recentRate(Target) * seconds(AheadTime)) -
+      static_cast<double>(available(Target, Now)) -
+      static_cast<double>(Target.Waiting.size());
+  CreditRequest Request;
+  Request.Id = NextId++;
+  Request.Account = Target.Limit.Key;
+  Request.Waiting = static_cast<std::uint32_t>(Target.Waiting.size());
+  Request.Ahead = static_cast<std::uint32_t>(std::max(0.0, Expected));
+  Request.Refused = std::exchange(Target.Refused, 0);
+  Request.Members = static_cast<std::uint32_t>(Owners.knownMembers());
+  Target.Totals.Requested += Request.Waiting + Request.Ahead;
+  Messages.push_back({Owner, Request});
+  Target.Open = {Request, Owner, Now, false};
+}
+
+void AccountCredit::askAhead(State &Target, Instant Now) {
+  const double Rate = recentRate(Target);
+  if (Target.Open || Target.NoOwner || Now < Target.HoldUntil ||
+      Rate * seconds(AheadTime) < 2 ||
+      available(Target, Now) > Rate * seconds(Settings.RoundTrip))
+    return;
+  ask(Target, Now);
+  updateActive(Target);
+}
+
+void AccountCredit::handle(const HostId &From, const CreditGrant &Grant,
+                           Instant Now) {
+  const auto Found = States.find(Grant.Account);
+  if (Found == States.end())
+    return;
+  State &Target = Found->second;
+  if (!Target.Open || Target.Open->What.Id != Grant.Id ||
+      Target.Open->Owner != From)
+    return;
+  const OpenRequest Asked = *std::exchange(Target.Open, std::nullopt);
+  const std::uint32_t Granted =
+      std::min(Grant.Granted, Asked.What.Waiting + Asked.What.Ahead);
+  Target.Totals.Granted += Granted;
+  // The validity counts from the sending of the request, which was before the
+  // debit, so that clocks need not agree.
+  const Instant Expires = Asked.SentAt + Settings.creditValidity();
+  if (Granted > 0 && Expires > Now)
+    Target.Lots.push_back({Granted, Expires});
+  serveWaiting(Target, Now);
+  const bool Short = Granted < Asked.What.Waiting;
+  if (!Short || Grant.Status == OwnerStatus::Owner)
+    Target.NoOwner = false;
+  if (Short) {
+    const Duration Wait = std::chrono::milliseconds(
+        std::max<std::uint32_t>(1, Grant.RetryAfterMs));
+    Target.ExpectedAt = Now + Wait;
+    Target.HoldUntil = Now + std::min(Wait, MaxHold);
+    if (Grant.Status != OwnerStatus::Owner)
+      loseOwner(Target, Now);
+    refuseWaiting(Target, Target.ExpectedAt + Settings.RoundTrip, Now);
+  } else if (!Target.Waiting.empty()) {
+    ask(Target, Now);
+  }
+  updateActive(Target);
+}
+
+void AccountCredit::serveWaiting(State &Target, Instant Now) {
+  while (!Target.Waiting.empty()) {
+    const auto Credit = take(Target, Now);
+    if (!Credit)
+      return;
+    Decisions.push_back({Target.Waiting.front().Id, *Credit});
+    Target.Waiting.pop_front();
+  }
+}
+
+void AccountCredit::refuseWaiting(State &Target, Instant Before, Instant Now) {
+  // Waiting requests are ordered by the end of their patience.
+  while (!Target.Waiting.empty() && Target.Waiting.front().Until <= Before) {
+    Decisions.push_back(
+        {Target.Waiting.front().Id, withoutCredit(Target, Now)});
+    Target.Waiting.pop_front();
+  }
+}
+
+Duration AccountCredit::floorInterval(const State &Target) const {
+  const double Rate = Settings.floorShare() * Target.Limit.RatePerSecond /
+                      static_cast<double>(Owners.knownMembers());
+  return fromSeconds(Rate > 0 ? std::min(1e6, 1 / Rate) : 1e6);
+}
+
+void AccountCredit::loseOwner(State &Target, Instant Now) {
+  if (std::exchange(Target.NoOwner, true))
+    return;
+  // A random phase spreads the admissions of all hosts evenly, although each
+  // host admits whole requests.
+  Target.NextFloor =
+      Now + fromSeconds(std::uniform_real_distribution<double>(0, 1)(Random) *
+                        seconds(floorInterval(Target)));
+}
+
+std::variant<Admitted, OverLimit> AccountCredit::withoutCredit(State &Target,
+                                                               Instant Now) {
+  if (Target.NoOwner) {
+    const Duration Interval = floorInterval(Target);
+    if (Target.NextFloor + FloorKept < Now) {
+      const double Missed = std::ceil(
+          seconds(Now - FloorKept - Target.NextFloor) / seconds(Interval));
+      Target.NextFloor += fromSeconds(Missed * seconds(Interval));
+    }
+    if (Target.NextFloor <= Now) {
+      Target.NextFloor += Interval;
+      ++Target.Totals.Floor;
+      return Admitted{Now + Settings.arrivalDelay(), true, true};
+    }
+  }
+  ++Target.Totals.Refused;
+  const Duration Expected = std::max(Target.ExpectedAt, Target.HoldUntil) - Now;
+  return OverLimit{Target.NoOwner
+                       ? std::max(Expected, NoOwnerRetry)
+                       : std::max<Duration>(Expected, Settings.RoundTrip)};
+}
+
+void AccountCredit::advance(State &Target, Instant Now) {
+  if (Target.Open) {
+    const bool Late =
+        Now >= Target.Open->SentAt + Settings.RoundTrip + ResendMargin;
+    if (Now >= Target.Open->SentAt + Settings.creditValidity()) {
+      Target.Open.reset();
+      loseOwner(Target, Now);
+    } else if (Late && !std::exchange(Target.Open->Repeated, true)) {
+      Messages.push_back({Target.Open->Owner, Target.Open->What});
+    }
+  }
+  if (!Target.Waiting.empty() && Target.Waiting.front().Until <= Now) {
+    if (Target.Open && Target.Open->Repeated)
+      loseOwner(Target, Now);
+    refuseWaiting(Target, Now, Now);
+  }
+  if (!Target.Open && !Target.Waiting.empty() && Now >= Target.ExpectedAt)
+    ask(Target, Now);
+  updateActive(Target);
+}
+
+void AccountCredit::advance(Instant Now) {
+  const std::vector<AccountKey> Due(Active.begin(), Active.end());
+  for (const AccountKey Account : Due)
+    advance(States.at(Account), Now);
+}
+
+std::optional<Instant> AccountCredit::nextDeadline() const {
+  std::optional<Instant> Next;
+  const auto Consider = [&](Instant At) {
+    if (!Next || At < *Next)
+      Next = At;
+  };
+  for (const AccountKey Account : Active) {
+    const State &Target = States.at(Account);
+    if (Target.Open)
+      Consider(Target.Open->SentAt + (Target.Open->Repeated
+                                          ? Settings.creditValidity()
+                                          : Settings.RoundTrip + ResendMargin));
+    if (!Target.Waiting.empty()) {
+      Consider(Target.Waiting.front().Until);
+      if (!Target.Open && !Owners.owner(Account).empty())
+        Consider(Target.ExpectedAt);
+    }
+  }
+  return Next;
+}
+
+void AccountCredit::updateActive(const State &Target) {
+  if (Target.Open || !Target.Waiting.empty())
+    Active.insert(Target.Limit.Key);
+  else
+    Active.erase(Target.Limit.Key);
+}
+
+std::optional<std::variant<Admitted, OverLimit>>
+AccountCredit::takeDecision(std::uint64_t Id) {
+  const auto Found = std::ranges::find(Decisions, Id, &AccountDecision::Waiter);
+  if (Found == Decisions.end())
+    return std::nullopt;
+  auto Result = Found->Result;
+  Decisions.erase(Found);
+  return Result;
+}
+
+const AccountCounters *AccountCredit::counters(AccountKey Account) const {
+  const auto Found = States.find(Account);
+  return Found == States.end() ? nullptr : &Found->second.Totals;
+}
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/account_limit/account_limiter.cpp
@@ -0,0 +1,97 @@
+#include "masticgap/coordination/account_limit/account_limiter.hpp"
+
+#include <utility>
+
+namespace masticgap::coordination {
+
+namespace {
+
+//! A shorter pause does not get a host declared dead: gossip suspects a member
+//! for three periods of 500 ms before.
+constexpr Duration MaxPause = std::chrono::milliseconds(1500);
+
+} // namespace
+
+AccountLimiter::AccountLimiter(AccountLimitSettings Settings, HostId Self,
+                               std::size_t MinMembers, std::uint64_t Seed,
+                               Instant Started)
+    : Settings(Settings), Owners(std::move(Self), Settings.Settle, MinMembers),
+      Owned(Settings, Owners, Started), Credit(Settings, Owners, Seed),
+      LastHeartbeat(Started) {}
+
+void AccountLimiter::heartbeat(Instant Now) {
+  checkPause(Now);
+  LastHeartbeat = Now;
+}
+
+void AccountLimiter::checkPause(Instant Now) {
+  if (Now - LastHeartbeat <= MaxPause)
+    return;
+  LastHeartbeat = Now;
+  Owned.restart(Now);
+}
+
+void AccountLimiter::setLimits(std::vector<AccountLimit> New, Instant Now) {
+  Limits = std::move(New);
+  Owners.setAccounts(Limits);
+  Owned.update(Limits, Now);
+  Credit.setLimits(Limits, Now);
+  route(Now);
+}
+
+void AccountLimiter::setMembers(std::span<const FleetMember> Members,
+                                Instant Now) {
+  Owners.setMembers(Members, Now);
+  Owned.update(Limits, Now);
+  Credit.ownersChanged(Now);
+  route(Now);
+}
+
+AccountAdmission AccountLimiter::admit(AccountKey Account, Instant Now) {
+  checkPause(Now);
+  AccountAdmission Result = Credit.admit(Account, Now);
+  route(Now);
+  // The owner may be this host, so that the decision is there already.
+  if (const auto *Waits = std::get_if<AwaitCredit>(&Result))
+    if (const auto Decided = Credit.takeDecision(Waits->Waiter))
+      return std::visit([](const auto &End) { return AccountAdmission(End); },
+                        *Decided);
+  return Result;
+}
+
+void AccountLimiter::handle(const HostId &From, const AccountMessage &Message,
+                            Instant Now) {
+  checkPause(Now);
+  if (const auto *Request = std::get_if<CreditRequest>(&Message))
+    Messages.push_back({From, Owned.handle(From, *Request, Now)});
+  else
+    Credit.handle(From, std::get<CreditGrant>(Message), Now);
+  route(Now);
+}
+
+void AccountLimiter::advance(Instant Now) {
+  checkPause(Now);
+  Credit.advance(Now);
+  route(Now);
+}
+
+void AccountLimiter::route(Instant Now) {
+  // A grant may lead to another credit request, which ends when the bucket is
+  // empty or nothing waits.
+  while (true) {
+    auto Next = Credit.takeMessages();
+    if (Next.empty())
+      return;
+    for (OutgoingAccountMessage &Message : Next) {
+      if (Message.To != Owners.self()) {
+        Messages.push_back(std::move(Message));
+        continue;
+      }
+      const auto &Request = std::get<CreditRequest>(Message.What);
+      Credit.handle(Owners.self(), Owned.handle(Owners.self(), Request, Now),
+                    Now);
+    }
+  }
+}
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/account_limit/account_limiter.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "masticgap/coordination/account_limit/account_credit.hpp"
+#include "masticgap/coordination/account_limit/account_owner.hpp"
+
+namespace masticgap::coordination {
+
+//! Limits of accounts at one host: the host's own admissions and the buckets of
+//! the accounts that it owns. Messages to itself are handled at once.
+class AccountLimiter {
+public:
+  static constexpr Duration HeartbeatPeriod = std::chrono::milliseconds(500);
+
+  //! \param MinMembers assumed size of the fleet as long as no other member is
+  //! live.
+  //! \param Started start of the process.
+  AccountLimiter(AccountLimitSettings Settings, HostId Self,
+                 std::size_t MinMembers, std::uint64_t Seed, Instant Started);
+
+  //! Shows that the process runs; to be called every HeartbeatPeriod. After a
+  //! longer pause other hosts may own this host's accounts, so that its buckets
+  //! start again.
+  void heartbeat(Instant Now);
+
+  //! Sets the accounts that have a limit. Others are unlimited.
+  void setLimits(std::vector<AccountLimit> New, Instant Now);
+  //! Sets all members, including this host, dead ones and ones that left.
+  void setMembers(std::span<const FleetMember> Members, Instant Now);
+
+  AccountAdmission admit(AccountKey Account, Instant Now);
+  //! Admits a request only if there is credit at this host.
+  bool admitNow(AccountKey Account, Instant Now) {
+    return Credit.admitNow(Account, Now);
+  }
+  //! Removes a request that waits.
+  void cancel(AccountKey Account, std::uint64_t Waiter) {
+    Credit.cancel(Account, Waiter);
+  }
+  //! Returns the credit of a request that was not sent to a worker.
+  void giveBack(AccountKey Account, const Admitted &Unused, Instant Now) {
+    Credit.giveBack(Account, Unused, Now);
+  }
+  //! Handles a message of another host.
+  void handle(const HostId &From, const AccountMessage &Message, Instant Now);
+  //! Handles everything that is due.
+  void advance(Instant Now);
+  std::optional<Instant> nextDeadline() const { return Credit.nextDeadline(); }
+  //! Returns the messages to other hosts since the last call.
+  std::vector<OutgoingAccountMessage> takeMessages() {
+    return std::exchange(Messages, {});
+  }
+  //! Returns the decisions for waiting requests since the last call.
+  std::vector<AccountDecision> takeDecisions() {
+    return Credit.takeDecisions();
+  }
+  const AccountCounters *counters(AccountKey Account) const {
+    return Credit.counters(Account);
+  }
+  std::span<const AccountLimit> limits() const { return Limits; }
+  const AccountLimitSettings &settings() const { return Settings; }
+
+private:
+  void route(Instant Now);
+  void checkPause(Instant Now);
+
+  AccountLimitSettings Settings;
+  std::vector<AccountLimit> Limits;
+  AccountOwners Owners;
+  AccountOwner Owned;
+  AccountCredit Credit;
+  std::vector<OutgoingAccountMessage> Messages;
+  Instant LastHeartbeat;
+};
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/account_limit/account_owner.cpp
@@ -0,0 +1,163 @@
+#include "masticgap/coordination/account_limit/account_owner.hpp"
+
+#include <cmath>
+
+namespace masticgap::coordination {
+
+namespace {
+
+//! Answers are kept for a retransmission, which follows within a round trip.
+constexpr Duration AnswerMemory = std::chrono::milliseconds(500);
+constexpr std::size_t MaxAnswers = 4096;
+//! Refused requests count as returning for about this time.
+constexpr Duration RefusalDecay = std::chrono::seconds(1);
+//! A host asks the account's next owner after this time.
+constexpr Duration NotOwnerRetry = std::chrono::milliseconds(500);
+
+double seconds(Duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+std::uint32_t milliseconds(Duration Time) {
+  return static_cast<std::uint32_t>(std::ceil(seconds(Time) * 1000));
+}
+
+} // namespace
+
+double AccountOwner::capacity(const Bucket &Target, Instant Now) {
+  // At least one request, or an account of a low rate would get none.
+  return std::max(
+      1.0, (Target.Limit.Burst + Settings.storedSlack() +
+            Target.Limit.RatePerSecond * seconds(Settings.storedRate())) *
+               Owners.share(Now));
+}
+
+void AccountOwner::fill(Bucket &Target, Instant Now) {
+  const Instant From = std::max(Target.FilledAt, Target.ServesFrom);
+  if (Now > From)
+    Target.Tokens +=
+        Target.Limit.RatePerSecond * Owners.share(Now) * seconds(Now - From);
+  Target.FilledAt = Now;
+  Target.Tokens = std::min(Target.Tokens, capacity(Target, Now));
+}
+
+void AccountOwner::begin(Bucket &Target, Instant ServesFrom, Instant Now) {
+  Target.ServesFrom = ServesFrom;
+  Target.FilledAt = Now;
+  Target.Tokens = 0;
+  if (Target.InitialAt && Now - *Target.InitialAt < Settings.Window)
+    return;
+  Target.InitialAt = Now;
+  Target.Tokens = std::min(Settings.initialCredit() * Owners.share(Now),
+                           capacity(Target, Now));
+}
+
+void AccountOwner::update(std::span<const AccountLimit> Limits, Instant Now) {
+  std::unordered_map<AccountKey, Bucket> Before = std::move(Buckets);
+  Buckets.clear();
+  for (const AccountLimit &Limit : Limits) {
+    const HostId &Owner = Owners.owner(Limit.Key);
+    const bool Here = Owner == Owners.self();
+    const auto Found = Before.find(Limit.Key);
+    Bucket Target;
+    if (Found == Before.end()) {
+      // The account is new, or this host has just started.
+      Target.Limit = Limit;
+      if (Here)
+        begin(Target, StartedAt + Settings.Settle, Now);
+    } else {
+      Target = std::move(Found->second);
+      const bool WasHere = Target.Owner == Owners.self();
+      if (WasHere)
+        fill(Target, Now);
+      Target.Limit = Limit;
+      if (Here && !WasHere) {
+        // A host that stops as planned knows this before all others, so that
+        // it grants nothing any more.
+        const FleetMemberStatus Previous = Owners.status(Target.Owner);
+        const bool HasStopped =
+            !Target.Owner.empty() && (Previous == FleetMemberStatus::Stopping ||
+                                      Previous == FleetMemberStatus::Left);
+        begin(Target, HasStopped ? Now : Now + Settings.Settle, Now);
+      }
+      Target.Tokens = Here ? std::min(Target.Tokens, capacity(Target, Now)) : 0;
+    }
+    Target.Owner = Owner;
+    Buckets.emplace(Limit.Key, std::move(Target));
+  }
+}
+
+void AccountOwner::restart(Instant Now) {
+  StartedAt = Now;
+  for (auto &[Account, Target] : Buckets)
+    begin(Target, Now + Settings.Settle, Now);
+}
+
+Duration AccountOwner::untilCredit(Bucket &Target, double Refused,
+                                   Instant Now) {
+  const double Rate =
+      std::max(1e-3, Target.Limit.RatePerSecond * Owners.share(Now));
+  const double Wait =
+      std::min(seconds(Settings.Window),
+               std::max(0.0, 1 - Target.Tokens + Refused) / Rate);
+  return std::max(Duration(0), Target.ServesFrom - Now) +
+         std::chrono::duration_cast<Duration>(
+             std::chrono::duration<double>(Wait));
+}
+
+CreditGrant AccountOwner::decide(const CreditRequest &Request, Instant Now) {
+  CreditGrant Result;
+  Result.Id = Request.Id;
+  Result.Account = Request.Account;
+  const auto Found = Buckets.find(Request.Account);
+  if (Found == Buckets.end() || !Owners.isOwnedHere(Request.Account)) {
+    Result.Status = OwnerStatus::NotOwner;
+    Result.RetryAfterMs = milliseconds(NotOwnerRetry);
+    return Result;
+  }
+  Bucket &Target = Found->second;
+  fill(Target, Now);
+  if (Now < Target.ServesFrom)
+    Result.Status = OwnerStatus::Starting;
+  const auto Available = static_cast<std::uint64_t>(Target.Tokens);
+  const std::uint64_t Wanted = std::uint64_t{Request.Waiting} + Request.Ahead;
+  Result.Granted = static_cast<std::uint32_t>(std::min(Available, Wanted));
+  Target.Tokens -= Result.Granted;
+  Target.Refused *=
+      std::exp(-seconds(Now - Target.RefusedAt) / seconds(RefusalDecay));
+  Target.RefusedAt = Now;
+  Target.Refused += Request.Refused;
+  if (Result.Granted < Request.Waiting) {
+    Result.RetryAfterMs =
+        milliseconds(untilCredit(Target, Target.Refused, Now));
+    Target.Refused += Request.Waiting - Result.Granted;
+  }
+  return Result;
+}
+
+CreditGrant AccountOwner::handle(const HostId &From,
+                                 const CreditRequest &Request, Instant Now) {
+  forgetAnswers(Now);
+  AnswerKey Key(From, Request.Id);
+  const auto Known = Answers.find(Key);
+  if (Known != Answers.end())
+    return Known->second.Grant;
+  Owners.recordKnownByPeer(Request.Members, Now);
+  const CreditGrant Grant = decide(Request, Now);
+  if (From != Owners.self()) {
+    AnswerOrder.emplace_back(Now, Key);
+    Answers.emplace(std::move(Key), Answered{Grant, Now});
+  }
+  return Grant;
+}
+
+void AccountOwner::forgetAnswers(Instant Now) {
+  while (!AnswerOrder.empty() &&
+         (AnswerOrder.front().first + AnswerMemory <= Now ||
+          AnswerOrder.size() > MaxAnswers)) {
+    Answers.erase(AnswerOrder.front().second);
+    AnswerOrder.pop_front();
+  }
+}
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/account_limit/account_owner.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "masticgap/coordination/account_limit/account_owners.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <utility>
+
+namespace masticgap::coordination {
+
+//! Token buckets of the accounts that this host owns. A grant is debited before
+//! it is sent, and a repeated request gets the same grant.
+class AccountOwner {
+public:
+  //! \param Started start of the process.
+  AccountOwner(AccountLimitSettings Settings, AccountOwners &Owners,
+               Instant Started)
+      : Settings(Settings), Owners(Owners), StartedAt(Started) {}
+
+  //! Takes over the limits of a configuration and the current owners. Call it
+  //! after each change of either.
+  //! \param Limits all accounts that have a limit.
+  void update(std::span<const AccountLimit> Limits, Instant Now);
+
+  //! Empties the buckets, which fill again after the settle time.
+  void restart(Instant Now);
+
+  //! Answers a credit request.
+  //! \param From host that sent it.
+  CreditGrant handle(const HostId &From, const CreditRequest &Request,
+                     Instant Now);
+
+private:
+  struct Bucket {
+    AccountLimit Limit;
+    HostId Owner;       //!< As last known.
+    Instant ServesFrom; //!< The bucket fills and is used from this time on.
+    Instant FilledAt;
+    double Tokens = 0;
+    std::optional<Instant> InitialAt; //!< Last initial credit.
+    double Refused = 0;               //!< Decaying number of refusals.
+    Instant RefusedAt;
+  };
+  struct Answered {
+    CreditGrant Grant;
+    Instant At;
+  };
+  using AnswerKey = std::pair<HostId, std::uint64_t>;
+
+  double capacity(const Bucket &Target, Instant Now);
+  void fill(Bucket &Target, Instant Now);
+  void begin(Bucket &Target, Instant ServesFrom, Instant Now);
+  CreditGrant decide(const CreditRequest &Request, Instant Now);
+  Duration untilCredit(Bucket &Target, double Refused, Instant Now);
+  void forgetAnswers(Instant Now);
+
+  AccountLimitSettings Settings;
+  AccountOwners &Owners;
+  std::unordered_map<AccountKey, Bucket> Buckets;
+  Instant StartedAt;
+  std::map<AnswerKey, Answered> Answers;
+  std::deque<std::pair<Instant, AnswerKey>> AnswerOrder;
+};
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/account_limit/account_owners.cpp
@@ -0,0 +1,127 @@
+#include "masticgap/coordination/account_limit/account_owners.hpp"
+
+#include <utility>
+#include <xxhash.h>
+
+namespace masticgap::coordination {
+
+namespace {
+
+//! Time for which a dead member counts: regions lose contact with each other
+//! for up to an hour, and the other part uses its share of the limits
+//! meanwhile.
+constexpr Duration DeadMemory = std::chrono::minutes(75);
+
+std::uint64_t hostHash(const HostId &Host) {
+  return XXH3_64bits(Host.value().data(), Host.value().size());
+}
+
+//! Mixes two hashes (finalizer of SplitMix64).
+std::uint64_t mix(std::uint64_t Host, std::uint64_t Account) {
+  std::uint64_t X = Host ^ (Account * 0x9e3779b97f4a7c15U);
+  X = (X ^ (X >> 30)) * 0xbf58476d1ce4e5b9U;
+  X = (X ^ (X >> 27)) * 0x94d049bb133111ebU;
+  return X ^ (X >> 31);
+}
+
+} // namespace
+
+AccountKey accountKey(std::string_view Name) {
+  return XXH3_64bits(Name.data(), Name.size());
+}
+
+AccountOwners::AccountOwners(HostId Self, Duration Settle,
+                             std::size_t MinMembers)
+    : Self(std::move(Self)), Settle(Settle), MinMembers(MinMembers),
+      Share(Settle) {}
+
+void AccountOwners::setAccounts(std::span<const AccountLimit> Limits) {
+  Owners.clear();
+  for (const AccountLimit &Limit : Limits)
+    Owners.emplace(Limit.Key, HostId());
+  assign();
+}
+
+void AccountOwners::setMembers(std::span<const FleetMember> All, Instant Now) {
+  std::map<HostId, KnownMember> Updated;
+  Live = 0;
+  Known = 0;
+  for (const FleetMember &Member : All) {
+    const auto Before = Members.find(Member.Host);
+    const bool WasDead = Before != Members.end() &&
+                         Before->second.Status == FleetMemberStatus::Dead;
+    const Instant DeadSince = WasDead ? Before->second.DeadSince : Now;
+    Updated[Member.Host] = {Member.Status, DeadSince};
+    const bool IsLive = Member.Status == FleetMemberStatus::Live ||
+                        Member.Status == FleetMemberStatus::Stopping;
+    Live += IsLive ? 1 : 0;
+    Known += IsLive || (Member.Status == FleetMemberStatus::Dead &&
+                        Now - DeadSince < DeadMemory)
+                 ? 1
+                 : 0;
+  }
+  Members = std::move(Updated);
+  if (Live <= 1)
+    Known = std::max(Known, MinMembers);
+  Known = std::max<std::size_t>(1, Known);
+  assign();
+  updateShare(Now);
+}
+
+void AccountOwners::assign() {
+  std::vector<std::pair<std::uint64_t, const HostId *>> Candidates;
+  Candidates.reserve(Members.size());
+  for (const auto &[Host, Member] : Members)
+    if (Member.Status == FleetMemberStatus::Live)
+      Candidates.emplace_back(hostHash(Host), &Host);
+  for (auto &[Account, Owner] : Owners) {
+    const HostId *Best = nullptr;
+    std::uint64_t BestScore = 0;
+    for (const auto &[Hash, Host] : Candidates) {
+      const std::uint64_t Score = mix(Hash, Account);
+      if (!Best || Score > BestScore) {
+        Best = Host;
+        BestScore = Score;
+      }
+    }
+    Owner = Best ? *Best : HostId();
+  }
+}
+
+const HostId &AccountOwners::owner(AccountKey Account) const {
+  static const HostId None;
+  const auto Found = Owners.find(Account);
+  return Found == Owners.end() ? None : Found->second;
+}
+
+FleetMemberStatus AccountOwners::status(const HostId &Host) const {
+  const auto Found = Members.find(Host);
+  return Found == Members.end() ? FleetMemberStatus::Left
+                                : Found->second.Status;
+}
+
+void AccountOwners::updateShare(Instant Now) {
+  const std::size_t All = std::max(Known, KnownByPeers);
+  Share.record(
+      std::min(1.0, static_cast<double>(Live) / static_cast<double>(All)), Now);
+}
+
+double AccountOwners::share(Instant Now) {
+  if (KnownByPeers > 0 && Now - KnownByPeersAt > Settle) {
+    KnownByPeers = 0;
+    updateShare(Now);
+  }
+  return Share.extreme(Now);
+}
+
+void AccountOwners::recordKnownByPeer(std::size_t Count, Instant Now) {
+  if (Count <= Known || Count < KnownByPeers)
+    return;
+  const bool Changed = Count != KnownByPeers;
+  KnownByPeers = Count;
+  KnownByPeersAt = Now;
+  if (Changed)
+    updateShare(Now);
+}
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/src/masticgap/coordination/account_limit/account_owners.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "masticgap/coordination/account_limit/account_limit.hpp"
+#include "masticgap/coordination/internal/sliding_extreme.hpp"
+
+#include <functional>
+#include <map>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace masticgap::coordination {
+
+//! What a host knows of another one.
+enum class FleetMemberStatus {
+  Live,
+  Stopping, //!< In a planned stop; owns no accounts.
+  Dead,
+  Left
+};
+
+struct FleetMember {
+  HostId Host;
+  FleetMemberStatus Status = FleetMemberStatus::Live;
+};
+
+//! This host's view of which host owns each account, by rendezvous hashing of
+//! the account over the live members, and of its part of the fleet.
+class AccountOwners {
+public:
+  //! \param Self this host.
+  //! \param Settle time within which all hosts learn of a change.
+  //! \param MinMembers assumed size of the fleet as long as no other member is
+  //! live.
+  AccountOwners(HostId Self, Duration Settle, std::size_t MinMembers);
+
+  //! Sets the accounts that have a limit.
+  void setAccounts(std::span<const AccountLimit> Limits);
+  //! Sets all members, including this host, dead ones and ones that left.
+  void setMembers(std::span<const FleetMember> Members, Instant Now);
+
+  //! Returns the owner of an account; empty if there is none.
+  const HostId &owner(AccountKey Account) const;
+  bool isOwnedHere(AccountKey Account) const { return owner(Account) == Self; }
+  //! Returns the status of a member; Left if it is unknown.
+  FleetMemberStatus status(const HostId &Host) const;
+  //! Returns the live share of the members, the smallest one within the settle
+  //! time. The sum over parts that cannot reach each other is at most 1.
+  double share(Instant Now);
+  //! Returns the number of members that may be running, including those that
+  //! are dead as seen from here.
+  std::size_t knownMembers() const { return Known; }
+  //! Takes into account that another member knows this number of members, which
+  //! may be more than a host that has just started knows.
+  void recordKnownByPeer(std::size_t Members, Instant Now);
+  const HostId &self() const { return Self; }
+
+private:
+  void assign();
+  void updateShare(Instant Now);
+
+  struct KnownMember {
+    FleetMemberStatus Status = FleetMemberStatus::Live;
+    Instant DeadSince;
+  };
+
+  HostId Self;
+  Duration Settle;
+  std::size_t MinMembers;
+  std::map<HostId, KnownMember> Members;
+  std::unordered_map<AccountKey, HostId> Owners;
+  std::size_t Live = 1;
+  std::size_t Known = 1;
+  std::size_t KnownByPeers = 0;
+  Instant KnownByPeersAt;
+  internal::SlidingExtreme<double, std::less<>> Share;
+};
+
+} // namespace masticgap::coordination
--- /dev/null
+++ b/tests/coordination/account_limit/account_limit.tests.cpp
@@ -0,0 +1,319 @@
+#include "coordination/account_limit/account_world.hpp"
+#include "coordination/seeds.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+using namespace masticgap;
+using namespace masticgap::coordination;
+using masticgap::tests::AccountLoad;
+using masticgap::tests::AccountWorld;
+using namespace std::chrono_literals;
+
+namespace {
+
+AccountLimit limitOf(const std::string &Name, double Rate, double Burst) {
+  return {accountKey(Name), Rate, Burst};
+}
+
+double servedShare(const AccountWorld::Totals &Total) {
+  return Total.Requests == 0
+             ? 1
+             : static_cast<double>(Total.Served) / Total.Requests;
+}
+
+//! Two hosts, of which the one named owns the account "a".
+struct Pair {
+  explicit Pair(double Rate = 10, double Burst = 5)
+      : Limit(limitOf("a", Rate, Burst)) {
+    const AccountLimit All[] = {Limit};
+    for (AccountLimiter *Host : {&One, &Two}) {
+      Host->setLimits({Limit}, Now);
+      Host->setMembers(Members, Now);
+    }
+    while (Now < Start + 20s) {
+      Now += AccountLimiter::HeartbeatPeriod;
+      One.heartbeat(Now);
+      Two.heartbeat(Now);
+    }
+    AccountOwners Owners(HostId("h1"), Settings.Settle, 2);
+    Owners.setAccounts(All);
+    Owners.setMembers(Members, Now);
+    const bool OneOwns = Owners.isOwnedHere(Limit.Key);
+    Owner = OneOwns ? &One : &Two;
+    Asking = OneOwns ? &Two : &One;
+    OwnerId = HostId(OneOwns ? "h1" : "h2");
+    AskingId = HostId(OneOwns ? "h2" : "h1");
+  }
+
+  AccountMessage onlyMessage(AccountLimiter &From) const {
+    const auto All = From.takeMessages();
+    REQUIRE(All.size() == 1);
+    return All.front().What;
+  }
+
+  //! Delivers the request and the grant. \returns the decisions.
+  std::vector<AccountDecision> exchange() {
+    for (const auto &Message : Asking->takeMessages())
+      Owner->handle(AskingId, Message.What, Now);
+    for (const auto &Message : Owner->takeMessages())
+      Asking->handle(OwnerId, Message.What, Now);
+    return Asking->takeDecisions();
+  }
+
+  AccountLimitSettings Settings;
+  AccountLimit Limit;
+  std::vector<FleetMember> Members{{HostId("h1")}, {HostId("h2")}};
+  Instant Start{1h};
+  Instant Now = Start;
+  AccountLimiter One{Settings, HostId("h1"), 2, 1, Start};
+  AccountLimiter Two{Settings, HostId("h2"), 2, 2, Start};
+  AccountLimiter *Owner = nullptr;
+  AccountLimiter *Asking = nullptr;
+  HostId OwnerId;
+  HostId AskingId;
+};
+
+} // namespace
+
+// Guards against settings for which delays alone exceed the allowed overage.
+TEST_CASE("the times of account limits keep the rule by arithmetic") {
+  for (const double Overage : {0.0, 0.02, 0.1, 0.3, 1.0})
+    for (const Duration Window : {1s, 5s, 60s}) {
+      CAPTURE(Overage);
+      AccountLimitSettings Settings;
+      Settings.Overage = Overage;
+      Settings.Window = Window;
+      const auto Seconds = [](Duration Time) {
+        return std::chrono::duration<double>(Time).count();
+      };
+      const double Delay =
+          Seconds(Settings.creditValidity()) + Seconds(Settings.arrivalDelay());
+      const double Arrivals =
+          Seconds(Window) + Delay + Seconds(Settings.storedRate()) +
+          Settings.floorShare() *
+              (Seconds(Window) + Delay + std::min(1.0, 0.2 * Seconds(Window)));
+      CHECK(Arrivals <= Seconds(Window) * (1 + Overage) + 1e-9);
+      CHECK(4 * Settings.initialCredit() + Settings.storedSlack() <=
+            Settings.Slack);
+    }
+}
+
+// Each row guards against one fault of the exchange between a host and the
+// owner.
+TEST_CASE("a host gets credit from the owner of an account") {
+  SUBCASE("the owner debits once when a request is repeated") {
+    Pair Hosts;
+    REQUIRE(std::holds_alternative<AwaitCredit>(
+        Hosts.Asking->admit(Hosts.Limit.Key, Hosts.Now)));
+    const AccountMessage First = Hosts.onlyMessage(*Hosts.Asking);
+    Hosts.Now += 46ms;
+    Hosts.Asking->advance(Hosts.Now);
+    const AccountMessage Second = Hosts.onlyMessage(*Hosts.Asking);
+    CHECK(std::get<CreditRequest>(First) == std::get<CreditRequest>(Second));
+    Hosts.Owner->handle(Hosts.AskingId, First, Hosts.Now);
+    const AccountMessage Grant = Hosts.onlyMessage(*Hosts.Owner);
+    Hosts.Owner->handle(Hosts.AskingId, Second, Hosts.Now);
+    CHECK(std::get<CreditGrant>(Grant) ==
+          std::get<CreditGrant>(Hosts.onlyMessage(*Hosts.Owner)));
+    for (int I = 0; I < 2; ++I)
+      Hosts.Asking->handle(Hosts.OwnerId, Grant, Hosts.Now);
+    CHECK(Hosts.Asking->takeDecisions().size() == 1);
+    CHECK(Hosts.Asking->counters(Hosts.Limit.Key)->Granted == 1);
+  }
+  SUBCASE("a late grant is not used after its validity") {
+    Pair Hosts;
+    (void)Hosts.Asking->admit(Hosts.Limit.Key, Hosts.Now);
+    Hosts.Owner->handle(Hosts.AskingId, Hosts.onlyMessage(*Hosts.Asking),
+                        Hosts.Now);
+    Hosts.Now += Hosts.Settings.creditValidity();
+    Hosts.Asking->handle(Hosts.OwnerId, Hosts.onlyMessage(*Hosts.Owner),
+                         Hosts.Now);
+    for (const AccountDecision &Decision : Hosts.Asking->takeDecisions())
+      CHECK(std::holds_alternative<OverLimit>(Decision.Result));
+    CHECK_FALSE(Hosts.Asking->admitNow(Hosts.Limit.Key, Hosts.Now));
+  }
+  SUBCASE("credit that is given back serves another request until it expires") {
+    Pair Hosts;
+    (void)Hosts.Asking->admit(Hosts.Limit.Key, Hosts.Now);
+    const auto Decisions = Hosts.exchange();
+    REQUIRE(Decisions.size() == 1);
+    const auto &Unused = std::get<Admitted>(Decisions[0].Result);
+    Hosts.Asking->giveBack(Hosts.Limit.Key, Unused, Hosts.Now);
+    CHECK(Hosts.Asking->admitNow(Hosts.Limit.Key, Hosts.Now));
+    CHECK_FALSE(Hosts.Asking->admitNow(Hosts.Limit.Key, Hosts.Now));
+    Hosts.Asking->giveBack(Hosts.Limit.Key, Unused, Hosts.Now);
+    CHECK_FALSE(Hosts.Asking->admitNow(Hosts.Limit.Key, Unused.Expires));
+  }
+  SUBCASE("a refusal answers further requests without a message") {
+    Pair Hosts(1, 0);
+    unsigned Messages = 0;
+    unsigned Refused = 0;
+    for (int I = 0; I < 40; ++I) {
+      const auto Answer = Hosts.Asking->admit(Hosts.Limit.Key, Hosts.Now);
+      Refused += std::holds_alternative<OverLimit>(Answer) ? 1 : 0;
+      Messages += Hosts.Asking->nextDeadline() ? 1 : 0;
+      for (const AccountDecision &Decision : Hosts.exchange())
+        if (const auto *Over = std::get_if<OverLimit>(&Decision.Result)) {
+          ++Refused;
+          CHECK(Over->RetryAfter > 0ms);
+          CHECK(Over->RetryAfter <= Hosts.Settings.Window);
+        }
+      Hosts.Now += 1ms;
+    }
+    CHECK(Refused >= 33); // The bucket holds one request and 5 of the slack.
+    CHECK(Messages <= 8);
+  }
+  SUBCASE("requests end within their patience when the owner is silent") {
+    Pair Hosts;
+    std::size_t Ended = 0;
+    for (int I = 0; I < 5; ++I)
+      (void)Hosts.Asking->admit(Hosts.Limit.Key, Hosts.Now);
+    const Instant Limit = Hosts.Now + 100ms;
+    while (const auto Next = Hosts.Asking->nextDeadline()) {
+      REQUIRE(*Next > Hosts.Now);
+      Hosts.Now = *Next;
+      Hosts.Asking->advance(Hosts.Now);
+      const auto Decisions = Hosts.Asking->takeDecisions();
+      Ended += Decisions.size();
+      if (!Decisions.empty())
+        CHECK(Hosts.Now <= Limit);
+    }
+    CHECK(Ended == 5);
+    CHECK(Hosts.Asking->takeMessages().size() == 2);
+  }
+  SUBCASE("an owner that was paused grants nothing at first") {
+    Pair Hosts(100, 50);
+    Hosts.Now += 4s;
+    (void)Hosts.Asking->admit(Hosts.Limit.Key, Hosts.Now);
+    unsigned Admissions = 0;
+    for (int I = 0; I < 50; ++I)
+      Admissions += std::holds_alternative<Admitted>(
+                        Hosts.Owner->admit(Hosts.Limit.Key, Hosts.Now))
+                        ? 1
+                        : 0;
+    CHECK(Admissions <= Hosts.Settings.initialCredit());
+  }
+  SUBCASE("a lower limit cuts the bucket, a higher one holds at once") {
+    Pair Hosts(10, 100);
+    Hosts.Owner->setLimits({limitOf("a", 10, 2)}, Hosts.Now);
+    unsigned Admissions = 0;
+    const auto Spend = [&] {
+      Admissions = 0;
+      while (std::holds_alternative<Admitted>(
+          Hosts.Owner->admit(Hosts.Limit.Key, Hosts.Now)))
+        ++Admissions;
+    };
+    Spend();
+    CHECK(Admissions == 8); // Burst, stored rate and stored slack.
+    Hosts.Owner->setLimits({limitOf("a", 1000, 50)}, Hosts.Now);
+    Hosts.Now += 100ms;
+    Spend();
+    CHECK(Admissions >= 100);
+  }
+  SUBCASE("accounts without a limit need no credit") {
+    Pair Hosts;
+    const auto Answer = Hosts.Asking->admit(accountKey("free"), Hosts.Now);
+    REQUIRE(std::holds_alternative<Admitted>(Answer));
+    CHECK_FALSE(std::get<Admitted>(Answer).Limited);
+    CHECK(Hosts.Asking->takeMessages().empty());
+  }
+}
+
+// Guards against credit that reaches hosts too late or expires unused, and
+// against an account far above its limit that takes credit of others.
+TEST_CASE("accounts below their limit are served while one is far above") {
+  struct Case {
+    std::string Name;
+    double Loss;
+    std::size_t Hosts; //!< That receive the requests of the accounts.
+    double MinServed;  //!< Of accounts below their limit.
+  };
+  const Case Cases[] = {{"callers at all hosts", 0, 36, 0.98},
+                        {"callers at six hosts", 0, 6, 0.98},
+                        {"callers at one host", 0, 1, 0.98},
+                        {"lost datagrams", 0.01, 36, 0.98}};
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    std::vector<AccountLoad> Loads{
+        {limitOf("large", 40, 20), 320, 0, C.Hosts},
+        {limitOf("near", 50, 25), 40, 0, C.Hosts},
+        {limitOf("half", 20, 10), 10, 0, C.Hosts},
+        {limitOf("small", 2, 4), 1, 0, C.Hosts},
+        {limitOf("no burst", 100, 0), 800, 0, C.Hosts}};
+    AccountWorld World(36, Loads, 7);
+    World.setLoss(C.Loss);
+    World.run(20s);
+    World.resetTotals();
+    World.run(60s);
+    for (std::size_t I = 0; I < Loads.size(); ++I) {
+      CAPTURE(I);
+      const auto &Total = World.totals(I);
+      CHECK(Total.LargestExcess <= 0);
+      CHECK(Total.Served + Total.Refused >= Total.Requests - 50);
+      if (Loads[I].RequestsPerSecond < Loads[I].Limit.RatePerSecond)
+        CHECK(servedShare(Total) >= C.MinServed);
+      else
+        CHECK(Total.Served >= 0.98 * 60 * Loads[I].Limit.RatePerSecond);
+    }
+  }
+}
+
+// Guards against credit given out twice when owners change or cannot see each
+// other.
+TEST_CASE("the limits of accounts hold under faults") {
+  masticgap::tests::forEachSeed(
+      "the limits of accounts hold under faults", [](std::uint64_t Seed) {
+        constexpr std::size_t Count = 24;
+        std::vector<AccountLoad> Loads{{limitOf("a", 40, 20), 320, 0, Count},
+                                       {limitOf("b", 60, 0), 300, 0, Count},
+                                       {limitOf("c", 10, 60), 80, 0, 8},
+                                       {limitOf("d", 3, 3), 24, 0, Count},
+                                       {limitOf("e", 20, 10), 10, 0, Count}};
+        AccountWorld World(Count, Loads, Seed);
+        std::mt19937_64 Random(Seed);
+        World.run(4s);
+        for (int Step = 0; Step < 12; ++Step) {
+          const std::size_t Host = Random() % Count;
+          switch (Random() % 9) {
+          case 0:
+            World.kill(Host);
+            break;
+          case 1: // Restart.
+            World.kill(Host);
+            World.run(std::chrono::milliseconds(Random() % 4000));
+            World.start(Host);
+            break;
+          case 2:
+            World.stopAsPlanned(Host);
+            break;
+          case 3:
+            World.pause(Host, std::chrono::milliseconds(Random() % 8000));
+            break;
+          case 4: // A region is cut off.
+            World.cut([](std::size_t I) { return I % 3 == 0 ? 1U : 0U; });
+            break;
+          case 5: // One host is cut off.
+            World.cut([&](std::size_t I) { return I == Host ? 1U : 0U; });
+            break;
+          case 6: // Three parts.
+            World.cut([](std::size_t I) { return unsigned(I % 3); });
+            break;
+          case 7:
+            World.cut([](std::size_t) { return 0U; });
+            break;
+          default:
+            World.setLimit(1, limitOf("b", double(20 + Random() % 80),
+                                      double(Random() % 40)));
+          }
+          World.run(std::chrono::milliseconds(500 + Random() % 6000));
+        }
+        World.cut([](std::size_t) { return 0U; });
+        World.run(15s);
+        for (std::size_t I = 0; I < Loads.size(); ++I) {
+          CAPTURE(I);
+          CHECK(World.totals(I).LargestExcess <= 0);
+        }
+      });
+}
