Serve accounts by key and keep the readable part of a configuration

Cause: configurations now name accounts (table "tenants"), public routes, routes of kind "download" and routes without a timeout. Such a configuration was rejected as a whole, so that the deployment was not served at all. One field that could not be read had the same effect.

RequestFlow checks configuration, route and key in this order and answers 401 to a missing or unknown key. Authorization is not sent to workers; the header Tenant is set by the host. The account's priority takes precedence, and the home regions of route and account both apply. An entry that cannot be read is listed in TrafficConfig::Unreadable and completed from the former configuration when the version is adopted; a new route of that kind answers 503. Server-Load may have a fourth figure, QueueReport::WorkFactor.

Tests changed: "a configuration that cannot be read names the field" expected that an unreadable field of a route, service or the limits rejects the whole text. These rows moved to "a field that cannot be read affects only its entry", which names the field too and checks all other entries. "a load report has exactly three numbers" rejected four figures; it now accepts them and rejects five and malformed ones.

--- a/src/gateway/platform_api.hpp
+++ b/src/gateway/platform_api.hpp
@@ -81,6 +81,7 @@
   std::string ExpectedWorkerField; //!< Id of the only worker that may run it.
   std::string SignatureField;      //!< Proves that a worker answered.
   std::string LoadField;           //!< Load of the answering worker.
+  std::string AccountField;        //!< Tells a worker the account.
   std::string ObjectCookie;        //!< Names the object of a request.
   std::function<std::optional<coordination::QueueReport>(std::string_view)>
       ParseLoad;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -59,6 +59,12 @@
   Head.version(11);
   // The Connection field could have listed these fields for removal.
   Head.set(http::field::host, Request.Head[http::field::host]);
+  if (Config->Accounts) {
+    Head.erase(http::field::authorization);
+    Head.erase(State.Wire.AccountField);
+    if (CallerAccount)
+      Head.set(State.Wire.AccountField, CallerAccount->Name.value());
+  }
   if (!Id.empty())
     Head.set(State.Wire.RequestIdField, Id);
   const auto TimeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 // GCC 12 reports a mismatch between the inlined allocation of a coroutine frame
@@ -33,10 +34,32 @@
 //! deadline is not sent.
 constexpr Duration MinWorkTime = std::chrono::milliseconds(10);
 
+//! Maximum time of a request on a route without a timeout whose caller states
+//! no deadline. It bounds how long a silent worker holds the connections.
+constexpr std::chrono::milliseconds MaxRequestTime = std::chrono::hours(1);
+//! Retry-After of a request that cannot be served before the operator changes
+//! the configuration.
+constexpr Duration ConfigErrorRetry = std::chrono::seconds(1);
+
 std::string_view view(boost::beast::string_view Text) {
   return {Text.data(), Text.size()};
 }
 
+//! Returns the key of "Authorization: Bearer KEY"; empty when there is none or
+//! more than one such field.
+std::string_view bearerKey(const http::request_header<> &Head) {
+  constexpr std::string_view Scheme = "Bearer ";
+  const auto [First, End] = Head.equal_range(http::field::authorization);
+  if (First == End || std::next(First) != End)
+    return {};
+  std::string_view Text = view(First->value());
+  if (!boost::beast::iequals(Text.substr(0, Scheme.size()), Scheme))
+    return {};
+  Text.remove_prefix(Scheme.size());
+  Text.remove_prefix(std::min(Text.find_first_not_of(' '), Text.size()));
+  return Text;
+}
+
 //! Returns the value of a cookie; empty when absent.
 std::string_view cookie(std::string_view Header, std::string_view Name) {
   while (!Header.empty()) {
@@ -68,6 +91,10 @@
     co_await finish(std::move(*Failure));
     co_return;
   }
+  if (auto Failure = identifyAccount()) {
+    co_await finish(std::move(*Failure));
+    co_return;
+  }
   readDeadline();
   if (State.StopAt &&
       !maySendDuringStop({MatchedRoute->LatencyObjective,
@@ -107,6 +134,8 @@
       *Config, view(Request.Head[http::field::host]), Path);
   if (!MatchedRoute)
     return LocalAnswer{http::status::not_found, "no_route", Duration(0)};
+  if (!MatchedRoute->Readable)
+    return unavailable("route_unreadable", ConfigErrorRetry);
   Service = State.Splits.next(*MatchedRoute);
   const std::string_view Cookie =
       cookie(view(Request.Head[http::field::cookie]), State.Wire.ObjectCookie);
@@ -116,14 +145,29 @@
   return std::nullopt;
 }
 
+std::optional<LocalAnswer> RequestFlow::identifyAccount() {
+  if (Config->Accounts && !MatchedRoute->Public) {
+    CallerAccount = Config->Accounts->findByKey(bearerKey(Request.Head));
+    if (!CallerAccount)
+      return LocalAnswer{http::status::unauthorized, "unauthorized",
+                         Duration(0)};
+  }
+  Regions.emplace(MatchedRoute->HomeRegions,
+                  CallerAccount ? std::span(CallerAccount->HomeRegions)
+                                : std::span<const RegionName>());
+  if (Regions->servesNowhere())
+    return unavailable("no_home_region", ConfigErrorRetry);
+  return std::nullopt;
+}
+
 void RequestFlow::readDeadline() {
-  Deadline = ReceivedAt + MatchedRoute->Timeout;
+  Deadline = ReceivedAt + MatchedRoute->Timeout.value_or(MaxRequestTime);
   const auto Text = view(Request.Head[State.Wire.DeadlineField]);
   std::int64_t RemainingMs = 0;
   const auto [End, Failure] =
       std::from_chars(Text.data(), Text.data() + Text.size(), RemainingMs);
   if (Failure == std::errc() && End == Text.data() + Text.size() &&
-      RemainingMs >= 0)
+      RemainingMs >= 0 && RemainingMs < MaxRequestTime.count())
     Deadline =
         std::min(Deadline, ReceivedAt + std::chrono::milliseconds(RemainingMs));
 }
@@ -132,10 +176,12 @@
   DispatchRequest Result;
   Result.Service = Service;
   Result.Object = Object;
-  Result.Priority = MatchedRoute->Priority;
+  Result.Priority = CallerAccount && CallerAccount->Priority
+                        ? *CallerAccount->Priority
+                        : MatchedRoute->Priority;
   Result.LatencyObjective = MatchedRoute->LatencyObjective;
   Result.Deadline = Deadline;
-  Result.HomeRegions = MatchedRoute->HomeRegions;
+  Result.HomeRegions = Regions->regions();
   Result.Tried = Tried;
   return Result;
 }
@@ -238,6 +284,8 @@
     // LogValue writes three decimal digits. HTTP defines whole seconds only.
     Message.set(http::field::retry_after, LogValue(Seconds).text());
   }
+  if (Answer.Status == http::status::unauthorized)
+    Message.set(http::field::www_authenticate, "Bearer");
   Message.body() = "{\"error\":\"" + Answer.Reason + "\"}";
   Message.prepare_payload();
   if (Request.Head.method() == http::verb::head)
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -73,6 +73,9 @@
   };
 
   std::optional<LocalAnswer> findRoute();
+  //! Finds the account by the key of the request.
+  //! \returns an answer if the key is missing or unknown.
+  std::optional<LocalAnswer> identifyAccount();
   void readDeadline();
   coordination::DispatchRequest dispatchRequest() const;
   boost::asio::awaitable<RequestOutcome> dispatch();
@@ -134,6 +137,9 @@
   transport::AttemptControl Control;
   std::shared_ptr<const TrafficConfig> Config; //!< Current at the arrival.
   const Route *MatchedRoute = nullptr;
+  //! Null if the configuration has no accounts or the route is public.
+  const Account *CallerAccount = nullptr;
+  std::optional<RegionLimit> Regions; //!< Set once the account is known.
   ServiceName Service;
   std::string Id;
   coordination::Fingerprint
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -305,7 +305,7 @@
             std::get_if<std::shared_ptr<const TrafficConfig>>(&Row)) {
       if (State.Config && (*NewConfig)->Version <= State.Config->Version)
         return;
-      State.adopt(*NewConfig);
+      adopt(*NewConfig);
       State.Log.write(
           LogClass::Decision, "config_adopted",
           {{"version", (*NewConfig)->Version},
@@ -337,6 +337,23 @@
       State.now());
 }
 
+void StoreSync::adopt(std::shared_ptr<const TrafficConfig> New) {
+  if (!New->Unreadable.empty() && State.Config) {
+    auto Completed = std::make_shared<TrafficConfig>(*New);
+    keepFormerEntries(*Completed, *State.Config);
+    New = std::move(Completed);
+  }
+  for (const UnreadableEntry &Entry : New->Unreadable) {
+    State.Stats.count("entries_unreadable", toString(Entry.Part));
+    State.Log.write(LogClass::Decision, "entry_unreadable",
+                    {{"part", std::string(toString(Entry.Part))},
+                     {"name", Entry.Name},
+                     {"error", Entry.Problem},
+                     {"version", New->Version}});
+  }
+  State.adopt(std::move(New));
+}
+
 void StoreSync::applyWorker(const RowChange &Change) {
   const WorkerId Id(Change.Row.Key);
   if (Change.Removed) {
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -93,6 +93,9 @@
              std::string_view Source, Duration LapseGrace);
   void applyOperator(const coordination::RowChange &Change,
                      std::string_view Source);
+  //! Adopts a configuration. Its unreadable entries are logged and replaced by
+  //! those of the current configuration.
+  void adopt(std::shared_ptr<const TrafficConfig> New);
   void applyWorker(const coordination::RowChange &Change);
   void fetchFrom(TableFeed &Feed, const coordination::MemberRecord &Peer);
   void catchUp(TableFeed &Feed, std::uint64_t WantedVersion,
--- a/src/masticgap/coordination/affinity/worker_record.hpp
+++ b/src/masticgap/coordination/affinity/worker_record.hpp
@@ -11,6 +11,8 @@
   unsigned Running = 0;
   unsigned Waiting = 0;
   unsigned Slots = 1;
+  //! Time that work takes on the machine now, relative to the usual time.
+  double WorkFactor = 1;
 };
 
 //! Load, latency and failures of one worker as observed by this host.
--- a/src/masticgap/state/names.hpp
+++ b/src/masticgap/state/names.hpp
@@ -29,6 +29,7 @@
   std::string Text;
 };
 
+using AccountName = Name<struct AccountNameTag>;
 using HostId = Name<struct HostIdTag>;
 using WorkerId = Name<struct WorkerIdTag>;
 using ServiceName = Name<struct ServiceNameTag>;
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -36,6 +36,8 @@
   //! Writes a configuration with an idempotent route /safe/ and a
   //! non-idempotent route /unsafe/, both with a timeout of one second.
   void putConfig(unsigned Version, const std::string &ExtraRoutes = "");
+  //! Writes any text as the row of the configuration.
+  void putConfigRow(const std::string &Text);
   void setStore(standins::StoreMode Mode);
   //! Ends the feeds of the store; gateways have to read its tables again.
   void forgetHistory();
