Write own rows again after a restore seen through peers, document eras

A host whose row was lost noticed it only if the store itself stated the later era, and the configuration in force was sent with every update while a later row of the operator could not be read. The row is now written again whoever tells of the era, and the configuration is sent only if it was adopted in an earlier era than that of the copy.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -261,10 +261,8 @@
 }
 
 void GatewayDaemon::onStoreEra(StoreEra Era) {
-  // The store's copy may lack this host's row. A write whose answer states the
-  // new era may have been lost as well.
-  HostAnnounced = false;
-  ++StoreEraRises;
+  NewestStoreEra = Era;
+  // The store's copy may lack this host's row, which is written without delay.
   NextJoinAt = std::max(State.now(), StartedAt + JoinDelay);
   Sync.onEra(Era);
 }
@@ -298,13 +296,16 @@
   FeedSourceChoice Choice(Settings.Host);
   // Only readers, and a host that is alone, write their addresses: one
   // reachable host is enough for another one to join.
-  if (!HostAnnounced &&
-      (IsAlone || Choice.isReader(Members, Settings.Domain))) {
+  const bool IsLost = AnnouncedEra && *AnnouncedEra < storeEra();
+  if (IsLost || (!AnnouncedEra &&
+                 (IsAlone || Choice.isReader(Members, Settings.Domain)))) {
     NextJoinAt = State.now() + JoinRetry;
     Platform.Store.AnnounceHost(Settings.Host.value(), Settings.Traffic.Address,
-                                [this, Rises = StoreEraRises](bool Done) {
-                                  HostAnnounced =
-                                      Done && Rises == StoreEraRises;
+                                [this, Era = storeEra()](bool Done) {
+                                  // An answer that states a later era may be
+                                  // to a write that the restore has lost.
+                                  if (Done)
+                                    AnnouncedEra = Era;
                                 });
   }
   if (!IsAlone)
@@ -404,6 +405,7 @@
       {"config_version", static_cast<double>(State.configVersion())},
       {"requests_in_flight", *State.InFlight},
       {"store_connected", Sync.isConnected() ? 1 : 0},
+      {"store_era", storeEra()},
       {"log_lines_dropped", static_cast<double>(State.Log.dropped())},
       {"caller_connections",
        static_cast<double>(Servers->Traffic->openConnections())},
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -14,8 +14,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/result.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace masticgap::gateway {
@@ -53,6 +55,10 @@
   void announceProgress();
   //! Handles a rise of the store's era.
   void onStoreEra(coordination::StoreEra Era);
+  //! Returns the newest era that the store or a peer stated.
+  coordination::StoreEra storeEra() const {
+    return std::max(NewestStoreEra, Sync.progress().Operator.Era);
+  }
   void catchUpWithPeers();
   //! Discovers other hosts through the store when the gossip seeds find none.
   void joinByStore();
@@ -87,8 +93,10 @@
   boost::asio::steady_timer StopTimer;
   bool Stopping = false;
   bool Ended = false;
-  bool HostAnnounced = false;
-  unsigned StoreEraRises = 0; //!< Since the start of this host.
+  //! Newest era of the store when this host's row was written last. The row is
+  //! lost if the store was restored since.
+  std::optional<coordination::StoreEra> AnnouncedEra;
+  coordination::StoreEra NewestStoreEra = 0; //!< Of the store's answers.
 };
 
 } // namespace masticgap::gateway
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -229,7 +229,10 @@
     const TableRow *Row = Table.find(Key);
     return PeerIsAhead || !Row || Row->Value != Value;
   };
-  if (ConfigRow && IsHeld(ConfigRow->Key, ConfigRow->Value))
+  // A row that differs in the era in which it was adopted has not been lost: a
+  // later one could not be read.
+  if (ConfigRow && (PeerIsAhead || ConfigRow->Version.Era < Era) &&
+      IsHeld(ConfigRow->Key, ConfigRow->Value))
     Update.Held.push_back(*ConfigRow);
   const Duration Grace = PeerIsAhead ? Duration(EvacuationGrace)
                          : EvacuationsHeldUntil
--- a/tests/gateway/store_eras.tests.cpp
+++ b/tests/gateway/store_eras.tests.cpp
@@ -141,7 +141,7 @@
       {"at a host's start", SecondHost::StartsAfterwards, Once, 1},
   };
   for (const Case &C : Cases) {
-    CAPTURE(C.Name);
+    CAPTURE(std::string(C.Name));
     RestoredStore F;
     GatewayFixture B(F.A);
     const bool Runs =
@@ -170,6 +170,12 @@
     if (C.Second == SecondHost::StartsAfterwards) {
       B.start();
       B.awaitReady();
+      // The store's copy has configuration 1 and the removed worker.
+      CHECK(B.configVersion() == 2);
+      CHECK(statusOf(B, "/old/x") == 404);
+      for (int I = 0; I < 10; ++I)
+        CHECK(statusOf(B, "/safe/x") == 200);
+      CHECK(F.Removed.seen().size() == F.ArrivalsBefore);
     }
     F.writeAgain();
     F.checkState(F.A);
@@ -195,7 +201,7 @@
     unsigned KnownAtEnd;
   };
   for (const Case &C : {Case{"renewed", true, 2}, Case{"gone", false, 1}}) {
-    CAPTURE(C.Name);
+    CAPTURE(std::string(C.Name));
     ScriptedWorker One(echo());
     ScriptedWorker Two(echo());
     GatewayFixture F;
@@ -236,7 +242,7 @@
       {"ended, and in the copy", true, false, false, true},
   };
   for (const Case &C : Cases) {
-    CAPTURE(C.Name);
+    CAPTURE(std::string(C.Name));
     ScriptedWorker One(echo());
     GatewayFixture F;
     F.putWorker("w1", One.endpoint());
