Bound what callers can make a gateway hold

Cause: only bodies were counted (6 MiB); heads with very many short fields, connections of the readiness and look-up ports and descriptors were not, memory was not given back, and stuck bodies kept ordinary requests out.

Change: one budget of bytes (a quarter of the setting memory_mb) for unparsed bytes, heads with the cost of each field, bodies and responses, and one limit of connections (from the setting file_descriptors) over all ports for callers. When one is reached, the connection that holds most for the longest without progress is closed, never one whose request is at a worker. Bodies have a minimum rate (min_body_rate, 408). Connections to workers have a total limit. The head of a request is no longer kept twice. malloc_trim gives memory back. Accepting waits for 20 ms when no descriptor is free; before, it retried at once. The process test states its host's memory and descriptors in the settings; its load and bounds are unchanged.

The other test programs were not run on this commit.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "entry/caller_connection.hpp"
 
+#include "masticgap/transport/boot_clock.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -28,6 +30,9 @@
 //! Maximum number of unread request bytes that are discarded before closing.
 constexpr std::size_t MaxSkippedBytes = 1024 * 1024;
 constexpr std::chrono::seconds SkipTimeout{2};
+//! Copies of a head while a worker serves its request: of the request, of the
+//! message to the worker, and of the message that is being sent.
+constexpr std::size_t HeadCopies = 3;
 //! Maximum size of pipelined requests that are read while one is served.
 constexpr std::size_t MaxReadAheadBytes = 16 * 1024;
 
@@ -59,7 +64,15 @@
                   MaxReadAheadBytes + ReadBytes);
   Serializer.reset();
   Answer.reset();
+  PartBuffer = {};
   LastAnswerKeptAlive = true;
+  HeadMemory = 0;
+  BodyBytes = 0;
+  BodyWait = Duration(0);
+  // An idle connection holds no buffer.
+  if (Buffer.size() == 0)
+    Buffer.shrink_to_fit();
+  holdBuffers();
   // IdleTimeout applies between requests, ReceiveTimeout within a head.
   while (Buffer.size() == 0) {
     startIdleTimer();
@@ -69,16 +82,23 @@
     // Bytes that have arrived meanwhile are read in the next round.
     if (Error == asio::error::operation_aborted && peek() > 0)
       continue;
-    if (Error)
+    if (Error || Evicted)
       co_return ReadFailure::Closed;
     Buffer.commit(Bytes);
   }
   Busy = true;
-  Stream.expires_after(Limits.ReceiveTimeout);
-  const auto [Error, Bytes] =
-      co_await http::async_read_header(Stream, Buffer, *Parser, AsTuple);
+  if (Account)
+    Account->progress();
+  const auto Error = co_await readWholeHead();
   if (Error)
     co_return classify(Error);
+  const bool HasMemory = holdBuffers();
+  if (Evicted)
+    co_return ReadFailure::Closed;
+  if (!HasMemory)
+    co_return ReadFailure::NoMemory;
+  ExpectsContinue =
+      beast::iequals(Parser->get()[http::field::expect], "100-continue");
   // The end of such a body is not known, and its bytes could be taken for the
   // next request.
   if (Parser->get().count(http::field::transfer_encoding) > 0 &&
@@ -87,6 +107,65 @@
   co_return std::nullopt;
 }
 
+asio::awaitable<beast::error_code> CallerConnection::readWholeHead() {
+  Stream.expires_after(Limits.ReceiveTimeout);
+  // Fields are parsed when the head is complete. Until then it is in the
+  // buffer only, which is counted after each part.
+  Parser->eager(false);
+  while (!Parser->is_header_done()) {
+    const auto [Error, Bytes] =
+        co_await http::async_read_some(Stream, Buffer, *Parser, AsTuple);
+    if (Error)
+      co_return Error;
+    if (Parser->is_header_done())
+      HeadMemory = Account ? transport::memoryOf(Parser->get()) : 0;
+    if (!holdBuffers())
+      break;
+    if (Account)
+      Account->progress();
+  }
+  co_return beast::error_code();
+}
+
+bool CallerConnection::holdBuffers() {
+  // The first part of a body has the size of ReadBytes.
+  const bool HasBody = HeadMemory > 0 && !Parser->is_done();
+  return !Account || Account->hold(Buffer.capacity() + HeadMemory +
+                                   (HasBody ? ReadBytes : 0));
+}
+
+bool CallerConnection::beginService() {
+  if (!Account)
+    return true;
+  // The first part of an answer has the size of ReadBytes.
+  if (!Account->hold(Buffer.capacity() + HeadCopies * HeadMemory +
+                     2 * ReadBytes))
+    return false;
+  if (!Evicted)
+    Account->setServed(true);
+  return !Evicted;
+}
+
+void CallerConnection::beginWrite() {
+  // From now on only the caller can cause a wait.
+  if (Account)
+    Account->setServed(false);
+}
+
+void CallerConnection::endWrite() {
+  if (Account)
+    Account->progress();
+}
+
+void CallerConnection::evict() {
+  Evicted = true;
+  // A reset would discard a response that an idle caller has not read yet.
+  if (Busy)
+    abort();
+  else
+    close();
+}
+
 void CallerConnection::startIdleTimer() {
   // The timer of the stream closes the socket, and drops bytes of a read that
   // has completed, but whose handler has not run.
@@ -110,22 +189,38 @@
   return Parser->get().base();
 }
 
+http::request_header<> CallerConnection::takeHead() {
+  return std::move(Parser->get().base());
+}
+
+bool CallerConnection::isTooSlow() const {
+  if (Limits.MinBodyRate == 0 || BodyWait <= Limits.ReceiveTimeout)
+    return false;
+  const double Seconds = std::chrono::duration<double>(BodyWait).count();
+  return static_cast<double>(BodyBytes) < Limits.MinBodyRate * Seconds;
+}
+
 asio::awaitable<beast::error_code>
 CallerConnection::readSome(std::span<char> Into, std::size_t &BytesRead) {
   auto &Body = Parser->get().body();
   Body.data = Into.data();
   Body.size = Into.size();
   Stream.expires_after(Limits.ReceiveTimeout);
+  const Instant Before = transport::now();
   const auto [Error, Bytes] =
       co_await http::async_read_some(Stream, Buffer, *Parser, AsTuple);
   BytesRead = Into.size() - Body.size;
+  BodyBytes += BytesRead;
+  BodyWait += transport::now() - Before;
+  if (Account)
+    Account->progress();
   co_return Error == http::error::need_buffer ? beast::error_code() : Error;
 }
 
 asio::awaitable<std::optional<ReadFailure>>
 CallerConnection::readBody(std::string &Body,
                            coordination::BufferReservation *Memory) {
-  if (beast::iequals(Parser->get()[http::field::expect], "100-continue")) {
+  if (ExpectsContinue) {
     const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
     Stream.expires_after(Limits.SendTimeout);
     co_await asio::async_write(Stream, asio::buffer(Continue), AsTuple);
@@ -138,12 +233,18 @@
       Body.resize(Before + Part);
     else if (!coordination::extendBuffer(Body, Part, *Memory))
       co_return ReadFailure::NoMemory;
+    if (Account && Memory)
+      Account->noteReserved(Memory->size());
+    if (Evicted)
+      co_return ReadFailure::Closed;
     std::size_t BytesRead = 0;
     const auto Error =
         co_await readSome(std::span<char>(Body).subspan(Before), BytesRead);
     Body.resize(Before + BytesRead);
     if (Error)
       co_return classify(Error);
+    if (!Parser->is_done() && isTooSlow())
+      co_return ReadFailure::TooSlow;
   }
   co_return std::nullopt;
 }
@@ -153,7 +254,7 @@
   std::size_t BytesRead = 0;
   while (BytesRead == 0 && !Parser->is_done()) {
     const auto Error = co_await readSome(PartBuffer, BytesRead);
-    if (Error) {
+    if (Error || (!Parser->is_done() && isTooSlow())) {
       Broken = true;
       co_return RequestPart{{}, false, true};
     }
@@ -168,8 +269,10 @@
     Response.keep_alive(false);
   LastAnswerKeptAlive = Response.keep_alive();
   Stream.expires_after(Limits.SendTimeout);
+  beginWrite();
   const auto [Error, Bytes] =
       co_await http::async_write(Stream, Response, AsTuple);
+  endWrite();
   Broken = Broken || Error;
   co_return !Error;
 }
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "entry/settings.hpp"
 #include "masticgap/coordination/admission/buffer_budget.hpp"
+#include "masticgap/transport/caller_registry.hpp"
 #include "masticgap/transport/http_types.hpp"
 #include "masticgap/transport/worker_exchange.hpp"
 
@@ -30,7 +31,8 @@
   Closed,    //!< The connection was closed or timed out.
   Malformed, //!< The bytes are not an HTTP request.
   TooLarge,  //!< Head or body exceeds its limit.
-  NoMemory   //!< The memory for bodies is in use.
+  TooSlow,   //!< The body arrives below the minimum rate.
+  NoMemory   //!< The memory for callers is in use.
 };
 
 //! HTTP connection of one caller. Reads requests and writes answers with
@@ -40,10 +42,24 @@
   CallerConnection(boost::asio::ip::tcp::socket Socket,
                    const EntryLimits &Limits);
 
+  //! Sets the account for the memory that the caller makes the process hold.
+  //! Without it that memory is not counted.
+  void setAccount(std::unique_ptr<transport::CallerAccount> Value) {
+    Account = std::move(Value);
+  }
+
   //! Reads the head of the next request.
   //! \returns std::nullopt on success.
   boost::asio::awaitable<std::optional<ReadFailure>> readHead();
   const boost::beast::http::request_header<> &head() const;
+  //! Moves the head out, so that it is in memory once. head() has no fields
+  //! afterwards.
+  boost::beast::http::request_header<> takeHead();
+  //! Reserves the memory that a request takes while a worker serves it, and
+  //! keeps the connection from being closed for lack of memory until a response
+  //! is written.
+  //! \returns false if there is not enough memory.
+  bool beginService();
 
   //! Reads the body up to the limit for bodies in memory.
   //! \param Body receives the bytes.
@@ -74,13 +90,19 @@
   bool hasUnreadBytes() const;
   //! Returns whether another request may follow on the connection.
   bool isReusable() const;
-  bool keepsAlive() const { return Parser && Parser->get().keep_alive(); }
+  bool keepsAlive() const {
+    return Parser && Parser->is_header_done() && Parser->keep_alive();
+  }
   unsigned version() const { return Parser ? Parser->get().version() : 11; }
   //! Resets the connection, so that the caller cannot mistake a partial answer
   //! for a complete one, whatever its framing.
   void abort();
   //! Closes the connection immediately.
   void close();
+  //! Closes the connection because memory or descriptors are short. The current
+  //! operation fails, and no request is read any more.
+  void evict();
+  bool isEvicted() const { return Evicted; }
   //! Stops waiting for the next request. A request of which bytes were already
   //! read is still served.
   void closeIfIdle();
@@ -99,6 +121,14 @@
 
   boost::asio::awaitable<boost::system::error_code>
   readSome(std::span<char> Into, std::size_t &BytesRead);
+  boost::asio::awaitable<boost::beast::error_code> readWholeHead();
+  //! Adjusts the account to the current buffers.
+  //! \returns false if there is not enough memory.
+  bool holdBuffers();
+  //! Returns whether the body arrives below the minimum rate.
+  bool isTooSlow() const;
+  void beginWrite();
+  void endWrite();
   void watch(std::function<void()> OnGone);
   void unwatch() { OnGone = {}; }
   void startIdleTimer();
@@ -126,6 +156,12 @@
   std::optional<AnswerSerializer> Serializer;
   std::vector<char> PartBuffer;
   std::function<void()> OnGone;
+  std::unique_ptr<transport::CallerAccount> Account;
+  std::size_t HeadMemory = 0; //!< Of the fields of the current request.
+  bool ExpectsContinue = false;
+  std::size_t BodyBytes = 0; //!< Received of the current body.
+  Duration BodyWait{0};      //!< Time spent waiting for the current body.
+  bool Evicted = false;
   bool WatchPending = false;
   bool Busy = false;
   bool CloseAfterAnswer = false;
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -20,6 +20,9 @@
   std::uint64_t MaxBodyBytes = 64 * 1024 * 1024;
   //! Bodies up to this size are buffered in memory and can be sent again.
   std::uint64_t BufferedBodyBytes = 256 * 1024;
+  //! Minimum rate of a request body in bytes a second, over the time spent
+  //! waiting for it and once that time exceeds ReceiveTimeout; 0: none.
+  std::uint32_t MinBodyRate = 0;
   std::uint32_t MaxCallers = 8192; //!< Open connections of callers.
   std::uint32_t MaxWaiting = 256;  //!< Queued requests of one service.
   std::chrono::milliseconds ReceiveTimeout{10000};
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -51,8 +51,10 @@
 }
 
 //! Limits of the servers for readiness checks, look-ups and metrics.
-transport::HttpServerLimits controlServerLimits() {
+transport::HttpServerLimits controlServerLimits(
+    const std::shared_ptr<transport::CallerRegistry> &Accounts) {
   transport::HttpServerLimits Limits;
+  Limits.Accounts = Accounts;
   Limits.MaxBodyBytes = 4096;
   Limits.MaxConnections = 1024;
   return Limits;
@@ -101,13 +103,13 @@
   const std::string &Address = Settings.Traffic.Address;
   try {
     Servers->Readiness = std::make_unique<transport::HttpServer>(
-        Io, Settings.Readiness, controlServerLimits(),
+        Io, Settings.Readiness, controlServerLimits(State.CallerAccounts),
         [this](const transport::HttpRequest &Request,
                const transport::HttpServer::Reply &Reply) {
           Reply(answerReadiness(Request));
         });
     Servers->Lookup = std::make_unique<transport::HttpServer>(
-        Io, Settings.Lookup, controlServerLimits(),
+        Io, Settings.Lookup, controlServerLimits(State.CallerAccounts),
         [this](const transport::HttpRequest &Request,
                const transport::HttpServer::Reply &Reply) {
           Reply(answerLookup(Request));
@@ -120,7 +122,8 @@
     });
     if (Settings.MetricsPort != 0)
       Servers->Metrics = std::make_unique<transport::HttpServer>(
-          Io, Endpoint{Address, Settings.MetricsPort}, controlServerLimits(),
+          Io, Endpoint{Address, Settings.MetricsPort},
+          controlServerLimits(State.CallerAccounts),
           [this](const transport::HttpRequest &Request,
                  const transport::HttpServer::Reply &Reply) {
             Reply(answerMetrics(Request));
@@ -329,6 +332,7 @@
   });
   catchUpWithPeers();
   joinByStore();
+  State.giveBackMemory();
 }
 
 bool GatewayDaemon::isReady() const {
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -12,6 +12,7 @@
 #include <exception>
 #include <random>
 #include <set>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -26,6 +27,9 @@
 
 namespace {
 
+//! Delay after a connection could not be accepted.
+constexpr std::chrono::milliseconds AcceptRetry{20};
+
 //! Time for which a stopping host waits for the first request on a connection.
 constexpr std::chrono::milliseconds FirstRequestWait{300};
 
@@ -37,12 +41,30 @@
   return {Text.data(), Text.size()};
 }
 
+//! How a request that cannot be read is answered.
+struct Unreadable {
+  http::status Status;
+  std::string_view Reason;
+};
+
+Unreadable describeFailure(ReadFailure Failure) {
+  switch (Failure) {
+  case ReadFailure::TooLarge:
+    return {http::status::payload_too_large, "too_large"};
+  case ReadFailure::TooSlow:
+    return {http::status::request_timeout, "too_slow"};
+  default:
+    return {http::status::bad_request, "malformed"};
+  }
+}
+
 } // namespace
 
 class GatewayServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(GatewayState &State, const Endpoint &Bind)
-      : State(State), Acceptor(State.Io), IdleTimer(State.Io) {
+      : State(State), Acceptor(State.Io), IdleTimer(State.Io),
+        AcceptTimer(State.Io) {
     const Tcp::endpoint Address(asio::ip::make_address(Bind.Address),
                                 Bind.Port);
     Acceptor.open(Address.protocol());
@@ -52,6 +74,7 @@
   }
 
   void accept();
+  void onAcceptFailure(beast::error_code Failure);
   void acceptWaiting();
   void closeIdle();
   void startSession(Tcp::socket Socket);
@@ -68,6 +91,7 @@
   GatewayState &State;
   Tcp::acceptor Acceptor;
   asio::steady_timer IdleTimer;
+  asio::steady_timer AcceptTimer;
   std::set<std::shared_ptr<CallerConnection>> Callers;
   std::set<RequestFlow *> Running;
   std::function<void()> OnEmpty;
@@ -80,10 +104,11 @@
                                                     Tcp::socket Socket) {
     if (Failure == asio::error::operation_aborted)
       return;
-    if (Failure)
-      Self->State.Log.write(LogClass::Decision, "accept_failed",
-                            {{"error", Failure.message()}});
-    else if (Self->Callers.size() < Self->State.Limits.MaxCallers)
+    if (Failure) {
+      Self->onAcceptFailure(Failure);
+      return;
+    }
+    if (Self->Callers.size() < Self->State.Limits.MaxCallers)
       Self->startSession(std::move(Socket));
     else
       Self->State.Stats.count("callers", "over_limit");
@@ -93,6 +118,20 @@
   });
 }
 
+void GatewayServer::Impl::onAcceptFailure(beast::error_code Failure) {
+  State.Log.write(LogClass::Decision, "accept_failed",
+                  {{"error", Failure.message()}});
+  if (Failure == asio::error::no_descriptors)
+    State.CallerAccounts->closeOne();
+  // The failed connection stays in the queue, so that the next attempt could
+  // fail at once.
+  AcceptTimer.expires_after(AcceptRetry);
+  AcceptTimer.async_wait([Self = shared_from_this()](beast::error_code Ended) {
+    if (!Ended && !Self->Draining)
+      Self->accept();
+  });
+}
+
 //! Accepts the connections that wait at the listening socket. Closing it would
 //! reset them.
 void GatewayServer::Impl::acceptWaiting() {
@@ -117,6 +156,16 @@
   Socket.set_option(Tcp::no_delay(true), Ignored);
   auto Caller =
       std::make_shared<CallerConnection>(std::move(Socket), State.Limits);
+  auto Account = State.CallerAccounts->open(
+      [Evicted = std::weak_ptr<CallerConnection>(Caller)] {
+        if (const auto Open = Evicted.lock())
+          Open->evict();
+      });
+  if (!Account) {
+    State.Stats.count("callers", "over_limit");
+    return;
+  }
+  Caller->setAccount(std::move(Account));
   if (ClosingAfterAnswers)
     Caller->closeAfterAnswer();
   Callers.insert(Caller);
@@ -162,9 +211,11 @@
       {}, {}, coordination::BufferReservation(State.Buffers), false};
   auto Failed = co_await Caller.readHead();
   if (!Failed) {
-    Request.Head = Caller.head();
+    Request.Head = Caller.takeHead();
     Failed = co_await Caller.readBody(Request.Body, &Request.Memory);
   }
+  if (!Failed && !Caller.beginService())
+    Failed = Caller.isEvicted() ? ReadFailure::Closed : ReadFailure::NoMemory;
   if (Failed == ReadFailure::Closed) {
     recordUnreadRequest(Caller, view(Request.Head[State.Wire.RequestIdField]));
     Caller.close();
@@ -195,15 +246,12 @@
                                       ReadFailure Failure) {
   if (Failure == ReadFailure::NoMemory)
     co_return co_await rejectForMemory(Caller);
-  const bool TooLarge = Failure == ReadFailure::TooLarge;
+  const Unreadable Kind = describeFailure(Failure);
   State.Log.write(LogClass::Decision, "unreadable_request",
-                  {{"reason", TooLarge ? "too_large" : "malformed"}});
-  transport::HttpResponse Answer(TooLarge ? http::status::payload_too_large
-                                          : http::status::bad_request,
-                                 11);
+                  {{"reason", Kind.Reason}});
+  transport::HttpResponse Answer(Kind.Status, 11);
   Answer.keep_alive(false);
-  Answer.body() =
-      TooLarge ? R"({"error":"too_large"})" : R"({"error":"malformed"})";
+  Answer.body() = "{\"error\":\"" + std::string(Kind.Reason) + "\"}";
   Answer.prepare_payload();
   Caller.closeAfterAnswer();
   co_await Caller.write(std::move(Answer));
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include <malloc.h>
+
 namespace masticgap::gateway {
 
 using coordination::DispatcherSettings;
@@ -20,9 +22,18 @@
   return Result;
 }
 
-//! Memory for the bodies of all requests beyond the first part of each. Hosts
-//! with the least memory have 112 MB.
-constexpr std::size_t BufferBudgetBytes = 6 * 1024 * 1024;
+//! Part of the memory of a host that callers may make the process hold. A
+//! process without load uses about a tenth of a host with 112 MB; the rest is
+//! for tables, worker connections and memory that the allocator cannot reuse.
+constexpr std::size_t CallerMemoryShare = 4;
+//! Memory is given back when callers have released this part of their limit.
+constexpr std::size_t GiveBackShare = 16;
+//! Period of log lines about callers that were closed.
+constexpr std::chrono::seconds ClosedLinePeriod{1};
+
+std::size_t callerMemory(const GatewaySettings &Settings) {
+  return std::size_t{Settings.MemoryMb} * 1024 * 1024 / CallerMemoryShare;
+}
 
 std::chrono::milliseconds milliseconds(Duration Time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time);
@@ -41,8 +52,46 @@
       Connections(
           Io, [] { return transport::now(); }, Settings.Traffic.Address),
       Crashes(Io, Connections, Dispatch, Log, Stats),
-      Buffers(std::make_shared<coordination::BufferBudget>(BufferBudgetBytes)) {
+      Buffers(
+          std::make_shared<coordination::BufferBudget>(callerMemory(Settings))),
+      CallerAccounts(transport::CallerRegistry::create(
+          Buffers, coordination::maxCallerConnections(Settings.FileDescriptors),
+          [] { return transport::now(); })) {
   Limits.MaxCallers = Settings.MaxCallers;
+  Limits.MinBodyRate = Settings.MinBodyRate;
+  Connections.setMaxConnections(
+      coordination::maxCallerConnections(Settings.FileDescriptors));
+  CallerAccounts->onClosed([this](auto Reason, const auto &Closed) {
+    recordClosedCaller(Reason, Closed);
+  });
+}
+
+void GatewayState::recordClosedCaller(
+    transport::CallerRegistry::Shortage Reason,
+    const transport::CallerRegistry::Victim &Closed) {
+  const bool IsMemory = Reason == transport::CallerRegistry::Shortage::Memory;
+  Stats.count("callers", IsMemory ? "closed_memory" : "closed_connections");
+  ++ClosedCallers;
+  if (now() < NextClosedLine)
+    return;
+  NextClosedLine = now() + ClosedLinePeriod;
+  Log.write(LogClass::Decision, "callers_closed",
+            {{"reason", IsMemory ? "memory" : "connections"},
+             {"count", std::exchange(ClosedCallers, 0U)},
+             {"bytes", static_cast<std::uint64_t>(Closed.Bytes)},
+             {"idle_ms", static_cast<std::uint64_t>(
+                             milliseconds(Closed.WithoutProgress).count())},
+             {"held", static_cast<std::uint64_t>(Buffers->reserved())},
+             {"connections",
+              static_cast<std::uint64_t>(CallerAccounts->connections())}});
+}
+
+void GatewayState::giveBackMemory() {
+  if (Buffers->releasedSincePeak() < Buffers->limit() / GiveBackShare)
+    return;
+  Buffers->forgetPeak();
+  // The allocator keeps freed pages between blocks that are in use.
+  ::malloc_trim(0);
 }
 
 Instant GatewayState::now() const { return transport::now(); }
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -10,6 +10,7 @@
 #include "masticgap/coordination/admission/buffer_budget.hpp"
 #include "masticgap/coordination/dispatch/dispatcher.hpp"
 #include "masticgap/coordination/traffic_split/split_schedule.hpp"
+#include "masticgap/transport/caller_registry.hpp"
 #include "masticgap/transport/worker_connection_pool.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -39,6 +40,9 @@
   void recordUnanswered(std::string_view RequestId, std::string_view Reason,
                         std::string_view Detail = {});
 
+  //! Returns memory to the operating system after callers have released much.
+  void giveBackMemory();
+
   boost::asio::io_context &Io;
   const GatewaySettings &Settings;
   const WireFormat &Wire;
@@ -56,11 +60,20 @@
   //! Number of requests in progress. It is shared because the io_context
   //! destroys the remaining requests after this object.
   std::shared_ptr<unsigned> InFlight = std::make_shared<unsigned>(0);
-  //! Memory for bodies that are buffered; shared for the same reason.
+  //! Memory that callers make the process hold; shared for the same reason.
   std::shared_ptr<coordination::BufferBudget> Buffers;
+  //! Accounts of the connections to the ports for callers.
+  std::shared_ptr<transport::CallerRegistry> CallerAccounts;
   //! Latest deadline of a request that arrives during a planned stop; unset
   //! before it.
   std::optional<Instant> StopAt;
+
+private:
+  void recordClosedCaller(transport::CallerRegistry::Shortage Reason,
+                          const transport::CallerRegistry::Victim &Closed);
+
+  Instant NextClosedLine;     //!< Earliest time of the next line about them.
+  unsigned ClosedCallers = 0; //!< Not logged yet.
 };
 
 } // namespace masticgap::gateway
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -101,8 +101,10 @@
     recordLeaving(Pick.Worker);
   if (StartFailure) {
     countBytes(Exchange, Pick);
-    co_return afterFailure({*StartFailure, Exchange.connected(), RequestSent},
-                           Pick, SentAt);
+    // The own limit of connections says nothing against the worker.
+    const bool Reachable = Exchange.connected() || Exchange.limitReached();
+    co_return afterFailure({*StartFailure, Reachable, RequestSent}, Pick,
+                           SentAt);
   }
   AttemptOutcome Next = co_await receive(Exchange, Pick, SentAt);
   countBytes(Exchange, Pick);
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -64,6 +64,12 @@
       Reader.duration("gossip_period", 50, MaxTimeMs, Settings.GossipPeriod);
   Settings.MaxCallers =
       Reader.number("max_callers", 1, 1000000, Settings.MaxCallers);
+  Settings.MemoryMb =
+      Reader.number("memory_mb", 16, 1U << 20, Settings.MemoryMb);
+  Settings.FileDescriptors =
+      Reader.number("file_descriptors", 64, 1U << 24, Settings.FileDescriptors);
+  Settings.MinBodyRate =
+      Reader.number("min_body_rate", 0, 1U << 30, Settings.MinBodyRate);
   Settings.Retries.Ratio =
       Reader.decimal("retry_ratio", 0, 10, Settings.Retries.Ratio);
   Settings.Retries.Slack =
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -55,6 +55,13 @@
   //! after about five periods.
   std::chrono::milliseconds GossipPeriod{500};
   std::uint32_t MaxCallers = 2048; //!< Limit of callers' connections.
+  //! Memory of the host for this process, in MB. Callers may make it hold a
+  //! quarter of this.
+  std::uint32_t MemoryMb = 112;
+  //! Descriptors of the host for this process.
+  std::uint32_t FileDescriptors = 2870;
+  //! Minimum rate of a request body in bytes a second; 0: none.
+  std::uint32_t MinBodyRate = 500;
   //! Limits for the retries of the fleet, per service.
   coordination::FleetRetryLimits Retries;
   bool LogRequests = true; //!< Also log answered requests.
--- a/src/masticgap/transport/http_server.cpp
+++ b/src/masticgap/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "masticgap/transport/http_server.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -27,7 +28,7 @@
   Impl(asio::io_context &Io, const Endpoint &Bind, HttpServerLimits Limits,
        Handler OnRequest)
       : Limits(std::move(Limits)), OnRequest(std::move(OnRequest)),
-        Acceptor(Io) {
+        Acceptor(Io), AcceptTimer(Io) {
     const Tcp::endpoint Address(asio::ip::make_address(Bind.Address),
                                 Bind.Port);
     Acceptor.open(Address.protocol());
@@ -51,7 +52,11 @@
   std::set<Session *> Sessions;
 
 private:
+  void onAcceptFailure(beast::error_code Failure);
+  void startSession(Tcp::socket Socket);
+
   Tcp::acceptor Acceptor;
+  asio::steady_timer AcceptTimer;
 };
 
 namespace {
@@ -61,6 +66,8 @@
 //! Maximum size of unparsed bytes beyond a head.
 constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 constexpr std::size_t DiscardBytes = 4096;
+//! Delay after a connection could not be accepted.
+constexpr std::chrono::milliseconds AcceptRetry{20};
 
 //! One connection, kept alive by the handler of its pending operation.
 class Session : public std::enable_shared_from_this<Session> {
@@ -68,6 +75,9 @@
   Session(Tcp::socket Socket, std::shared_ptr<HttpServer::Impl> Server);
   ~Session();
 
+  //! Opens the account of the connection.
+  //! \returns false if the connection has to be refused.
+  bool openAccount();
   void readHeader();
   void closeIfIdle() {
     if (!Busy)
@@ -80,7 +90,12 @@
   }
 
 private:
+  void readHeaderPart();
   void onHeader(beast::error_code Failure);
+  //! Adjusts the account to the current buffers.
+  //! \returns false if there is not enough memory.
+  bool holdBuffers();
+  void rejectForMemory();
   void onRequest(beast::error_code Failure);
   void setPeerAddress(HttpRequest &Request);
   void reject(beast::error_code Failure);
@@ -93,6 +108,7 @@
   std::shared_ptr<HttpServer::Impl> Server;
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
+  std::unique_ptr<CallerAccount> Account;
   HttpResponse Response;
   std::uint64_t RequestCount = 0;
   //! Number of the request that waits for its answer.
@@ -113,18 +129,63 @@
   Parser.emplace();
   Parser->header_limit(Server->Limits.MaxHeaderBytes);
   Parser->body_limit(Server->Limits.MaxBodyBytes);
+  Parser->eager(false);
   Busy = false;
+  Response = {};
+  // An idle connection holds no buffer.
+  if (Buffer.size() == 0)
+    Buffer.shrink_to_fit();
+  holdBuffers();
   Stream.expires_after(Server->Limits.IdleTimeout);
-  http::async_read_header(
+  readHeaderPart();
+}
+
+void Session::readHeaderPart() {
+  http::async_read_some(
       Stream, Buffer, *Parser,
       [Self = shared_from_this()](beast::error_code Failure, std::size_t) {
         Self->onHeader(Failure);
       });
 }
 
+bool Session::openAccount() {
+  if (!Server->Limits.Accounts)
+    return true;
+  Account = Server->Limits.Accounts->open([Evicted = weak_from_this()] {
+    if (const auto Open = Evicted.lock())
+      Open->close();
+  });
+  return Account != nullptr;
+}
+
+bool Session::holdBuffers() {
+  if (!Account)
+    return true;
+  // Fields are parsed when the head is complete, and the request is copied
+  // once.
+  const bool HasHead = Parser && Parser->is_header_done();
+  const std::size_t Head = HasHead ? 2 * memoryOf(Parser->get()) : 0;
+  return Account->hold(Buffer.capacity() + Head + Response.body().size());
+}
+
+void Session::rejectForMemory() {
+  HttpRequest Request;
+  Request.version(11);
+  Request.keep_alive(false);
+  Parser.reset();
+  write(errorResponse(Request, http::status::service_unavailable, "no_memory",
+                      "the memory for callers is in use; try again later"));
+}
+
 void Session::onHeader(beast::error_code Failure) {
   if (Failure)
     return reject(Failure);
+  if (Account)
+    Account->progress();
+  if (!holdBuffers())
+    return rejectForMemory();
+  if (!Parser->is_header_done())
+    return readHeaderPart();
   Busy = true;
   Stream.expires_after(Server->Limits.ReceiveTimeout);
   http::async_read(
@@ -194,6 +255,8 @@
 
 void Session::write(HttpResponse Answer) {
   Response = std::move(Answer);
+  // The answer is sent in any case; its size ranks the connection.
+  holdBuffers();
   if (Server->Draining)
     Response.keep_alive(false);
   Stream.expires_after(Server->Limits.ReceiveTimeout);
@@ -202,6 +265,8 @@
       [Self = shared_from_this()](beast::error_code Failure, std::size_t) {
         if (Failure)
           return Self->close();
+        if (Self->Account)
+          Self->Account->progress();
         if (!Self->Response.keep_alive())
           return Self->closeAfterInput();
         Self->readHeader();
@@ -235,22 +300,42 @@
                                                     Tcp::socket Socket) {
     if (Failure == asio::error::operation_aborted || Self->Draining)
       return;
-    if (Failure) {
-      LOG_EVERY_N(WARNING, 100)
-          << "cannot accept a connection: " << Failure.message();
-    } else if (Self->Sessions.size() < Self->Limits.MaxConnections) {
-      beast::error_code Ignored;
-      Socket.set_option(Tcp::no_delay(true), Ignored);
-      std::make_shared<Session>(std::move(Socket), Self)->readHeader();
-    }
+    if (Failure)
+      return Self->onAcceptFailure(Failure);
+    if (Self->Sessions.size() < Self->Limits.MaxConnections)
+      Self->startSession(std::move(Socket));
     Self->accept();
   });
 }
 
+void HttpServer::Impl::startSession(Tcp::socket Socket) {
+  beast::error_code Ignored;
+  Socket.set_option(Tcp::no_delay(true), Ignored);
+  const auto New =
+      std::make_shared<Session>(std::move(Socket), shared_from_this());
+  if (New->openAccount())
+    New->readHeader();
+}
+
+void HttpServer::Impl::onAcceptFailure(beast::error_code Failure) {
+  LOG_EVERY_N(WARNING, 100)
+      << "cannot accept a connection: " << Failure.message();
+  if (Failure == asio::error::no_descriptors && Limits.Accounts)
+    Limits.Accounts->closeOne();
+  // The failed connection stays in the queue, so that the next attempt could
+  // fail at once.
+  AcceptTimer.expires_after(AcceptRetry);
+  AcceptTimer.async_wait([Self = shared_from_this()](beast::error_code Ended) {
+    if (!Ended && !Self->Draining)
+      Self->accept();
+  });
+}
+
 void HttpServer::Impl::drain() {
   Draining = true;
   beast::error_code Ignored;
   Acceptor.close(Ignored);
+  AcceptTimer.cancel();
   const std::set<Session *> Open = Sessions;
   for (Session *OpenSession : Open)
     OpenSession->closeIfIdle();
--- a/src/masticgap/transport/http_server.hpp
+++ b/src/masticgap/transport/http_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticgap/state/endpoint.hpp"
+#include "masticgap/transport/caller_registry.hpp"
 #include "masticgap/transport/http_types.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,9 @@
   //! Request header that is set to the sender's IP address, replacing any value
   //! from the sender; no header is set if empty.
   std::string PeerAddressHeader;
+  //! Accounts for connections and their memory, common to several servers; null
+  //! if they are not counted.
+  std::shared_ptr<CallerRegistry> Accounts;
 };
 
 //! HTTP/1.1 server for small messages: look-up, admin, peers and stand-ins.
--- a/src/masticgap/transport/worker_connection_pool.cpp
+++ b/src/masticgap/transport/worker_connection_pool.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -106,6 +107,27 @@
     return true;
   }
 
+  std::size_t openConnections() const {
+    std::size_t Sum = 0;
+    for (const auto &[Key, W] : Workers)
+      Sum += W.Open;
+    return Sum;
+  }
+
+  //! Ensures that one more connection may be opened in total, if necessary by
+  //! closing an idle one to another worker. Entries of workers are not removed.
+  bool ensureTotalCapacity() {
+    if (openConnections() < MaxConnections)
+      return true;
+    for (auto &[Key, W] : Workers)
+      if (!W.Idle.empty()) {
+        W.Idle.erase(W.Idle.begin());
+        --W.Open;
+        return true;
+      }
+    return false;
+  }
+
   void returnIdle(const Key &WorkerRun,
                   std::shared_ptr<WorkerConnection> Connection) {
     Connection->Reused = true;
@@ -123,6 +145,7 @@
   std::string Source;
   std::map<Key, Worker> Workers;
   std::uint64_t Opened = 0;
+  std::size_t MaxConnections = std::numeric_limits<std::size_t>::max();
 };
 
 WorkerConnectionPool::Lease::Lease(std::shared_ptr<Impl> Owner,
@@ -161,7 +184,8 @@
   Impl::Worker &W = Pimpl->Workers[{Target.Id, Target.Run}];
   if (auto Idle = Pimpl->takeIdle(W, Repeatable))
     co_return Acquired(Lease(Pimpl, std::move(Target), std::move(Idle)));
-  if (!Impl::ensureCapacity(W, Target.MaxConnections))
+  if (!Impl::ensureCapacity(W, Target.MaxConnections) ||
+      !Pimpl->ensureTotalCapacity())
     co_return Acquired(AcquireFailure::LimitReached);
   ++W.Open;
   ++Pimpl->Opened;
@@ -203,10 +227,11 @@
 }
 
 std::size_t WorkerConnectionPool::openConnections() const {
-  std::size_t Sum = 0;
-  for (const auto &[Key, W] : Pimpl->Workers)
-    Sum += W.Open;
-  return Sum;
+  return Pimpl->openConnections();
+}
+
+void WorkerConnectionPool::setMaxConnections(std::size_t Total) {
+  Pimpl->MaxConnections = Total;
 }
 
 std::uint64_t WorkerConnectionPool::connectionsOpened() const {
--- a/src/masticgap/transport/worker_connection_pool.hpp
+++ b/src/masticgap/transport/worker_connection_pool.hpp
@@ -20,7 +20,8 @@
 
 //! Reason why no connection was obtained; in each case no byte was sent.
 enum class AcquireFailure {
-  LimitReached, //!< All of this host's connections to the worker are in use.
+  LimitReached, //!< All of this host's connections, to the worker or in total,
+                //!< are in use.
   Refused,      //!< The connection could not be established.
   TimedOut,
   Cancelled
@@ -68,6 +69,10 @@
   WorkerConnectionPool(const WorkerConnectionPool &) = delete;
   WorkerConnectionPool &operator=(const WorkerConnectionPool &) = delete;
 
+  //! Limits the number of open connections to all workers; unlimited before.
+  //! At the limit, an idle connection is closed for each new one.
+  void setMaxConnections(std::size_t Total);
+
   //! Takes an idle connection or opens one.
   //! \param Repeatable whether the request may be repeated; if not, it is only
   //! given a connection that is new or recently proved alive.
--- a/tests/callers/gateway_process.cpp
+++ b/tests/callers/gateway_process.cpp
@@ -127,7 +127,9 @@
          R"(","lookup":")" + text(Lookup) + R"(","gossip_port":)" +
          std::to_string(GossipPort) + R"(,"peer_port":)" +
          std::to_string(PeerPort) + R"(,"seeds":[],"platform":")" +
-         text(Store.local()) + R"(","retry_ratio":10,"log_requests":false})";
+         text(Store.local()) +
+         R"(","retry_ratio":10,"log_requests":false,)"
+         R"("memory_mb":64,"file_descriptors":240})";
 }
 
 bool GatewayProcess::tryStart() {
