Treat a response with a status outside of 200 to 599 as broken

Cause: a worker's response with the status 000, 001, 099, 600 or 999 was passed on to the caller, 101 was skipped as an interim response until the time was up, and a refusal field in such a response was believed.

Change: the status is checked where the head of a response is decoded, in WorkerExchange (workers, both daemons) and in fetch() (health checks, the store and other control calls). Such a response from a worker ends the attempt like a truncated one: it is not passed on, the worker is judged as broken, and the request counts as run. Log lines name the status (invalid_status at the gateway, a warning at both daemons).

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -2,6 +2,7 @@
 #include "gateway/request_flow.hpp"
 
 #include "entry/header_fields.hpp"
+#include "masticgap/transport/response_status.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -101,6 +102,12 @@
     recordLeaving(Pick.Worker);
   if (StartFailure) {
     countBytes(Exchange, Pick);
+    if (*StartFailure == AttemptEnd::Truncated &&
+        !transport::isFinalStatus(Exchange.head().result_int()))
+      State.Log.write(LogClass::Decision, "invalid_status",
+                      {{"id", Id},
+                       {"worker", Pick.Worker.Id.value()},
+                       {"status", Exchange.head().result_int()}});
     // The own limit of connections says nothing against the worker.
     const bool Reachable = Exchange.connected() || Exchange.limitReached();
     co_return afterFailure({*StartFailure, Reachable, RequestSent}, Pick,
--- a/src/masticgap/transport/http_fetch.cpp
+++ b/src/masticgap/transport/http_fetch.cpp
@@ -1,6 +1,7 @@
 #include "masticgap/transport/http_fetch.hpp"
 
 #include "masticgap/transport/dead_peer_detection.hpp"
+#include "masticgap/transport/response_status.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -8,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <glog/logging.h>
 
 #include <memory>
 
@@ -24,6 +26,9 @@
 //! without end.
 constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
 
+//! Period of log lines about answers with an invalid status.
+constexpr double StatusLineSeconds = 1;
+
 class Fetch : public std::enable_shared_from_this<Fetch> {
 public:
   Fetch(asio::io_context &Io, HttpRequest Request, FetchHandler OnDone,
@@ -67,10 +72,20 @@
     http::async_read(
         Stream, Buffer, Parser,
         [Self = shared_from_this()](beast::error_code Error, std::size_t) {
-          Self->finish(Error);
+          Self->onAnswer(Error);
         });
   }
 
+  void onAnswer(beast::error_code Failure) {
+    const unsigned Status = Parser.get().result_int();
+    if (!Failure && !isFinalStatus(Status)) {
+      LOG_EVERY_T(WARNING, StatusLineSeconds)
+          << "a control call was answered with the invalid status " << Status;
+      return finish(http::make_error_code(http::error::bad_status));
+    }
+    finish(Failure);
+  }
+
   void finish(beast::error_code Failure) {
     beast::error_code Ignored;
     Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -1,5 +1,7 @@
 #include "masticgap/transport/worker_exchange.hpp"
 
+#include "masticgap/transport/response_status.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,6 +11,7 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <glog/logging.h>
 
 #include <algorithm>
 #include <array>
@@ -40,6 +43,8 @@
 //! A connection that has carried more refusals is not reused, which bounds the
 //! memory for their ids.
 constexpr std::size_t MaxRefusals = 256;
+//! Period of log lines about answers with an invalid status.
+constexpr double StatusLineSeconds = 1;
 //! An idle connection is closed this long before the worker would close it.
 constexpr std::chrono::seconds IdleMargin{1};
 
@@ -333,8 +338,16 @@
     Received += Bytes;
     if (Error)
       co_return classify(Error, End::ConnectionLost, Control);
-    if (Answer->get().result_int() / 100 == 1)
+    const unsigned Status = Answer->get().result_int();
+    if (Status / 100 == 1 && Status != SwitchingProtocols)
       continue;
+    // Before any other field is read: a refusal in such an answer proves
+    // nothing.
+    if (!isFinalStatus(Status)) {
+      LOG_EVERY_T(WARNING, StatusLineSeconds)
+          << "a worker answered with the invalid status " << Status;
+      co_return End::Truncated;
+    }
     Leaving = Leaving ||
               (Options.Dialect->Leaving && Options.Dialect->Leaving(head()));
     co_return std::nullopt;
--- a/tests/gateway/broken_answers.tests.cpp
+++ b/tests/gateway/broken_answers.tests.cpp
@@ -74,6 +74,45 @@
   }
 }
 
+// Guards against a status that is no final response and reaches the caller, or
+// the reader of a control call, as an answer.
+TEST_CASE("a response with an invalid status is broken") {
+  struct Case {
+    const char *Status;
+    unsigned Expected;   //!< Status that the caller gets.
+    std::string Refusal; //!< Field that states that it has not run.
+  };
+  const std::string Refusal = "Not-Executed: 1\r\n";
+  const Case Cases[] = {{"000", 502, ""},      {"001", 502, ""},
+                        {"099", 502, ""},      {"101", 502, ""},
+                        {"600", 502, ""},      {"999", 502, ""},
+                        {"600", 502, Refusal}, {"200", 200, ""},
+                        {"404", 404, ""},      {"599", 599, ""}};
+  for (const Case &C : Cases) {
+    const std::string Row = std::string(C.Status) + ' ' + C.Refusal;
+    CAPTURE(Row);
+    ScriptedWorker Worker([&](std::size_t, const SeenRequest &) {
+      return "HTTP/1.1 " + std::string(C.Status) +
+             " X\r\nAttempt-Id: id-1\r\nResponse-Signature: s\r\n" + C.Refusal +
+             "Content-Length: 2\r\n\r\nok";
+    });
+    GatewayFixture F;
+    F.putWorker("w1", Worker.endpoint());
+    F.putWorker("w2", Worker.endpoint());
+    F.putConfig(1);
+    F.start();
+    F.awaitReady();
+    const auto Answer = F.send("/unsafe/x", "body");
+    REQUIRE(Answer);
+    CHECK(Answer->result_int() == C.Expected);
+    // The request counts as run, so it is not sent again.
+    CHECK(Worker.seen().size() == 1);
+    // Health checks and calls to the store are read by the same function.
+    const auto Control = F.get(Worker.endpoint(), "/health");
+    CHECK(Control.has_value() == (C.Expected != 502));
+  }
+}
+
 // Guards against a second end of a body in chunks, which the next reader of the
 // connection finds in place of a message.
 TEST_CASE("a streamed body ends once") {
