--- a/tests/coordination/admission/caller_ledger.tests.cpp
+++ b/tests/coordination/admission/caller_ledger.tests.cpp
@@ -1,5 +1,5 @@
-#include "masticgap/coordination/admission/buffer_budget.hpp"
 #include "masticgap/coordination/admission/caller_ledger.hpp"
+#include "masticgap/coordination/admission/buffer_budget.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,8 +10,8 @@
 using namespace masticgap::coordination;
 using namespace std::chrono_literals;
 
-// Guards against closing a caller that a worker serves, or one that holds little
-// or makes progress in place of one that blocks memory.
+// Guards against closing a caller that a worker serves, or one that holds
+// little or makes progress in place of one that blocks memory.
 TEST_CASE("the caller that holds most for the longest is closed") {
   struct Caller {
     std::size_t Bytes;
--- a/tests/gateway/gateway_settings.tests.cpp
+++ b/tests/gateway/gateway_settings.tests.cpp
@@ -54,8 +54,7 @@
       {"[\"10.0.0.2:9\"]", "7", "seeds"},
       {"\"retry_slack\"", "\"retry_slak\"", "retry_slak"},
       {"\"grace_period\":\"6s\"", "\"memory_mb\":0", "memory_mb"},
-      {"\"grace_period\":\"6s\"", "\"file_descriptors\":8",
-       "file_descriptors"},
+      {"\"grace_period\":\"6s\"", "\"file_descriptors\":8", "file_descriptors"},
       {"\"grace_period\":\"6s\"", "\"min_body_rate\":-1", "min_body_rate"},
   };
   for (const auto &C : Cases) {
