Count and log requests per account, describe accounts

Cause: with accounts in the configuration, operators have to see which account is refused or sends unknown keys.

Change: metric masticgap_account_requests_total{account,outcome} for at most 256 accounts, then "other"; an unknown account has an empty name. Outcomes are served, refused, limited, unauthorized and failed (answer lost, caller left). The lines "request" and "rejected" name the account. A test checks that the key does not affect the fingerprint of a request.

No processor time was measured.

--- a/src/gateway/metrics.cpp
+++ b/src/gateway/metrics.cpp
@@ -18,6 +18,22 @@
 //! Maximum number of series; further label values are counted as "other".
 constexpr std::size_t MaxSeries = 512;
 
+//! Maximum number of accounts with their own series.
+constexpr std::size_t MaxAccounts = 256;
+constexpr const char *AccountOutcomeNames[] = {"served", "refused", "limited",
+                                               "unauthorized", "failed"};
+
+//! Escapes a label value; names of accounts are chosen by the operator.
+std::string escaped(std::string_view Value) {
+  std::string Text;
+  for (const char C : Value) {
+    if (C == '"' || C == '\\')
+      Text += '\\';
+    Text += C;
+  }
+  return Text;
+}
+
 using Axis = boost::histogram::axis::variable<double>;
 using Histogram = decltype(boost::histogram::make_histogram(Axis(Buckets)));
 
@@ -44,6 +60,15 @@
   Counters[std::move(Key)] += Number;
 }
 
+void Metrics::countAccount(std::string_view Account, AccountOutcome Outcome) {
+  auto Entry = Accounts.find(Account);
+  if (Entry == Accounts.end()) {
+    const bool Full = Accounts.size() >= MaxAccounts;
+    Entry = Accounts.try_emplace(std::string(Full ? "other" : Account)).first;
+  }
+  ++Entry->second.at(static_cast<std::size_t>(Outcome));
+}
+
 void Metrics::observe(Stage Where, std::string_view Route, Duration Latency) {
   std::pair<Stage, std::string> Key(Where, Route);
   if (Latencies.size() >= MaxSeries && !Latencies.contains(Key))
@@ -61,6 +86,12 @@
   for (const auto &[Key, Number] : Counters)
     Text << "masticgap_" << Key.first << "_total{kind=\"" << Key.second
          << "\"} " << Number << '\n';
+  for (const auto &[Account, Counts] : Accounts)
+    for (std::size_t I = 0; I < Counts.size(); ++I)
+      if (Counts.at(I) > 0)
+        Text << "masticgap_account_requests_total{account=\""
+             << escaped(Account) << "\",outcome=\"" << AccountOutcomeNames[I]
+             << "\"} " << Counts.at(I) << '\n';
   for (const auto &[Name, Value] : Gauges)
     Text << "masticgap_" << Name << ' ' << Value << '\n';
   for (const auto &[Key, Latency] : Latencies) {
--- a/src/gateway/metrics.hpp
+++ b/src/gateway/metrics.hpp
@@ -2,7 +2,10 @@
 
 #include "masticgap/state/time.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -17,6 +20,15 @@
   Worker   //!< One exchange with a worker.
 };
 
+//! Outcome of a request of an account.
+enum class AccountOutcome {
+  Served,       //!< A worker's answer was forwarded.
+  Refused,      //!< Not run: no capacity, no worker, no time.
+  Limited,      //!< Not run: above the account's limit.
+  Unauthorized, //!< Not run: no known key, so that the account is unknown.
+  Failed        //!< The answer was lost, or the caller left.
+};
+
 //! Counters and latency histograms of one gateway, exported in the Prometheus
 //! text format. Label values are route names and fixed words. Routes of earlier
 //! configurations remain, so the number of series is limited.
@@ -29,6 +41,10 @@
   //! \param Label value of the label "kind".
   void count(std::string_view Name, std::string_view Label,
              std::uint64_t Number = 1);
+  //! Counts a request of an account. The series of at most 256 accounts are
+  //! kept; requests of others are counted as "other".
+  //! \param Account empty if it is unknown.
+  void countAccount(std::string_view Account, AccountOutcome Outcome);
   //! Adds a latency to the histogram of a stage and route.
   void observe(Stage Where, std::string_view Route, Duration Latency);
 
@@ -39,8 +55,11 @@
 
 private:
   struct Series;
+  static constexpr std::size_t AccountOutcomes = 5;
+  using AccountCounts = std::array<std::uint64_t, AccountOutcomes>;
   std::map<std::pair<std::string, std::string>, std::uint64_t> Counters;
   std::map<std::pair<Stage, std::string>, Series> Latencies;
+  std::map<std::string, AccountCounts, std::less<>> Accounts;
 };
 
 } // namespace masticgap::gateway
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -129,6 +129,13 @@
   void logAttempt(const coordination::WorkerPick &Pick, std::string_view Result,
                   Instant SentAt);
   void logOutcome(const RequestOutcome &End);
+  //! Counts the request for its account.
+  void countForAccount(const RequestOutcome &End);
+  //! Returns the name of the caller's account; empty if there is none.
+  std::string_view accountName() const {
+    return CallerAccount ? std::string_view(CallerAccount->Name.value())
+                         : std::string_view();
+  }
 
   GatewayState &State;
   entry::CallerConnection &Caller;
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -13,14 +13,42 @@
   return std::chrono::duration<double, std::milli>(Time).count();
 }
 
+//! Returns the outcome that a status of a local answer stands for.
+AccountOutcome accountOutcome(boost::beast::http::status Status) {
+  using boost::beast::http::status;
+  switch (Status) {
+  case status::unauthorized:
+    return AccountOutcome::Unauthorized;
+  case status::too_many_requests:
+    return AccountOutcome::Limited;
+  case status::service_unavailable:
+    return AccountOutcome::Refused;
+  default:
+    return AccountOutcome::Failed;
+  }
+}
+
 } // namespace
 
+void RequestFlow::countForAccount(const RequestOutcome &End) {
+  AccountOutcome Outcome = AccountOutcome::Failed;
+  if (const auto *Local = std::get_if<LocalAnswer>(&End))
+    Outcome = accountOutcome(Local->Status);
+  else if (std::holds_alternative<Delivered>(End))
+    Outcome = AccountOutcome::Served;
+  if (CallerAccount)
+    State.Stats.countAccount(CallerAccount->Name.value(), Outcome);
+  else if (Outcome == AccountOutcome::Unauthorized)
+    State.Stats.countAccount({}, Outcome);
+}
+
 void RequestFlow::logRejection(std::string_view Reason, Duration Wait,
                                Instant Now) {
   State.Log.write(LogClass::Decision, "rejected",
                   {{"id", Id},
                    {"route", MatchedRoute->Name},
                    {"service", Service.value()},
+                   {"account", accountName()},
                    {"reason", Reason},
                    {"wait_ms", milliseconds(Wait)},
                    {"usable", static_cast<std::uint64_t>(
@@ -65,6 +93,7 @@
   const std::string Name =
       MatchedRoute ? MatchedRoute->Name : std::string("none");
   State.Stats.count("requests", Outcome);
+  countForAccount(End);
   State.Stats.observe(Stage::Request, Name, State.now() - ReceivedAt);
   if (Routine && !State.Settings.LogRequests)
     return;
@@ -73,6 +102,7 @@
       {{"id", Id},
        {"route", Name},
        {"service", Service.value()},
+       {"account", accountName()},
        {"outcome", Outcome},
        {"status", Status},
        {"ms", milliseconds(State.now() - ReceivedAt)},
--- a/tests/gateway/accounts.tests.cpp
+++ b/tests/gateway/accounts.tests.cpp
@@ -3,6 +3,7 @@
 #include "common/eventually.hpp"
 #include "common/scripted_worker.hpp"
 #include "gateway/gateway_fixture.hpp"
+#include "masticgap/transport/request_fingerprint.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -13,6 +14,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <doctest/doctest.h>
 
+#include <cstdint>
 #include <string>
 
 using namespace masticgap;
@@ -148,6 +150,17 @@
     CHECK(Head.find("key-") == std::string::npos);
   }
 
+  const auto Metrics = F.get(
+      {F.settings().Traffic.Address, F.settings().MetricsPort}, "/metrics");
+  REQUIRE(Metrics);
+  for (const char *Line : {"{account=\"acme\",outcome=\"served\"} 3",
+                           "{account=\"borealis\",outcome=\"served\"} 3",
+                           "{account=\"away\",outcome=\"refused\"} 2",
+                           "{account=\"\",outcome=\"unauthorized\"} 8"}) {
+    CAPTURE(Line);
+    CHECK(Metrics->body().find(Line) != std::string::npos);
+  }
+
   // The keys change; the connection is kept.
   F.putConfigRow(
       config(2, R"(["acme",["key-a"]],["borealis",["key-b2","key-b3"]])"));
@@ -157,6 +170,24 @@
   CHECK(Caller.status("/safe/x", "key-a") == 200);
 }
 
+// Guards against a request that crashes a worker again for each key that it is
+// sent with.
+TEST_CASE("the key does not affect the fingerprint of a request") {
+  const auto Fingerprint = [](const char *Key, const char *Target) {
+    http::request_header<> Head;
+    Head.method(http::verb::post);
+    Head.target(Target);
+    Head.set(http::field::host, "a.example");
+    if (Key)
+      Head.set(http::field::authorization, Key);
+    return transport::requestFingerprint(Head, "body", false).Value;
+  };
+  const std::uint64_t Plain = Fingerprint(nullptr, "/safe/x");
+  for (const char *Key : {"Bearer key-a", "Bearer key-b1", "Basic x", ""})
+    CHECK(Fingerprint(Key, "/safe/x") == Plain);
+  CHECK(Fingerprint(nullptr, "/safe/y") != Plain);
+}
+
 // Guards against 401 and 404 from a host that does not know the routes and keys
 // yet; callers do not repeat such requests.
 TEST_CASE("a host without a configuration answers 503 to any request") {
