Count idle buffers and leave memory for workers' responses

Cause: an idle connection kept a buffer of 16 KiB that was not counted. After a streamed response a connection stayed marked as served, so that it could never be closed.

Change: an idle connection has a buffer of 1 KiB; reading a body extends it. A connection that waits for its next request is not served. Callers may make the process hold a seventh of memory_mb (16 MiB at 112 MB).

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -27,6 +27,8 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t ReadBytes = 16 * 1024;
+//! Buffer of a connection that waits for a request; holds a usual head.
+constexpr std::size_t IdleReadBytes = 1024;
 //! Maximum number of unread request bytes that are discarded before closing.
 constexpr std::size_t MaxSkippedBytes = 1024 * 1024;
 constexpr std::chrono::seconds SkipTimeout{2};
@@ -69,15 +71,19 @@
   HeadMemory = 0;
   BodyBytes = 0;
   BodyWait = Duration(0);
-  // An idle connection holds no buffer.
+  // An idle connection holds only IdleReadBytes.
   if (Buffer.size() == 0)
     Buffer.shrink_to_fit();
+  if (Account) {
+    Account->noteReserved(0);
+    Account->setServed(false);
+  }
   holdBuffers();
   // IdleTimeout applies between requests, ReceiveTimeout within a head.
   while (Buffer.size() == 0) {
     startIdleTimer();
     const auto [Error, Bytes] =
-        co_await Stream.async_read_some(Buffer.prepare(ReadBytes), AsTuple);
+        co_await Stream.async_read_some(Buffer.prepare(IdleReadBytes), AsTuple);
     stopIdleTimer();
     // Bytes that have arrived meanwhile are read in the next round.
     if (Error == asio::error::operation_aborted && peek() > 0)
@@ -128,10 +134,11 @@
 }
 
 bool CallerConnection::holdBuffers() {
-  // The first part of a body has the size of ReadBytes.
+  // A body is read through a buffer of ReadBytes, which is also the size of its
+  // first part.
   const bool HasBody = HeadMemory > 0 && !Parser->is_done();
   return !Account || Account->hold(Buffer.capacity() + HeadMemory +
-                                   (HasBody ? ReadBytes : 0));
+                                   (HasBody ? 2 * ReadBytes : 0));
 }
 
 bool CallerConnection::beginService() {
@@ -205,6 +212,8 @@
   auto &Body = Parser->get().body();
   Body.data = Into.data();
   Body.size = Into.size();
+  // Otherwise the body would be read in units of the buffer for the head.
+  Buffer.reserve(ReadBytes);
   Stream.expires_after(Limits.ReceiveTimeout);
   const Instant Before = transport::now();
   const auto [Error, Bytes] =
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -25,7 +25,7 @@
 //! Part of the memory of a host that callers may make the process hold. A
 //! process without load uses about a tenth of a host with 112 MB; the rest is
 //! for tables, worker connections and memory that the allocator cannot reuse.
-constexpr std::size_t CallerMemoryShare = 4;
+constexpr std::size_t CallerMemoryShare = 7;
 //! Memory is given back when callers have released this part of their limit.
 constexpr std::size_t GiveBackShare = 16;
 //! Period of log lines about callers that were closed.
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -56,7 +56,7 @@
   std::chrono::milliseconds GossipPeriod{500};
   std::uint32_t MaxCallers = 2048; //!< Limit of callers' connections.
   //! Memory of the host for this process, in MB. Callers may make it hold a
-  //! quarter of this.
+  //! seventh of this.
   std::uint32_t MemoryMb = 112;
   //! Descriptors of the host for this process.
   std::uint32_t FileDescriptors = 2870;
