Bound how long an unused floor admission is kept

A window of less than 5 s kept an unused admission of the floor for 1 s, which is more than the arithmetic of account limits assumes. It is kept for a fifth of the window at most. A test shows that a host whose owner is silent gets its share of the floor and no more.

--- a/src/masticgap/coordination/account_limit/account_credit.cpp
+++ b/src/masticgap/coordination/account_limit/account_credit.cpp
@@ -24,8 +24,9 @@
 //! Retry-After while the owner does not answer; its death is known to all hosts
 //! within a few seconds.
 constexpr Duration NoOwnerRetry = std::chrono::seconds(1);
-//! An unused admission of the floor is kept for this time.
-constexpr Duration FloorKept = std::chrono::seconds(1);
+//! An unused admission of the floor is kept for this time, and for a fifth of
+//! the window at most.
+constexpr Duration MaxFloorKept = std::chrono::seconds(1);
 //! Requests of one account that may wait at a host at the same time.
 constexpr std::size_t MaxWaiting = 512;
 constexpr double MaxAhead = 4096;
@@ -269,9 +270,10 @@
 AccountCredit::withoutCredit(State &Target, Instant Now) {
   if (Target.NoOwner) {
     const Duration Interval = floorInterval(Target);
-    if (Target.NextFloor + FloorKept < Now) {
-      const double Missed = std::ceil(
-          seconds(Now - FloorKept - Target.NextFloor) / seconds(Interval));
+    const Duration Kept = std::min(MaxFloorKept, Settings.Window / 5);
+    if (Target.NextFloor + Kept < Now) {
+      const double Missed =
+          std::ceil(seconds(Now - Kept - Target.NextFloor) / seconds(Interval));
       Target.NextFloor += fromSeconds(Missed * seconds(Interval));
     }
     if (Target.NextFloor <= Now) {
--- a/tests/coordination/account_limit/account_limit.tests.cpp
+++ b/tests/coordination/account_limit/account_limit.tests.cpp
@@ -53,6 +53,11 @@
     return All.front().What;
   }
 
+  void heartbeat() {
+    One.heartbeat(Now);
+    Two.heartbeat(Now);
+  }
+
   //! Returns whether there is credit at the asking host.
   bool admitsNow(Instant At) {
     return std::holds_alternative<AccountAdmitted>(
@@ -189,6 +194,22 @@
     CHECK(Ended == 5);
     CHECK(Hosts.Asking->takeMessages().size() == 2);
   }
+  SUBCASE("a host whose owner is silent has its share of the floor") {
+    constexpr double Rate = 10000;
+    Pair Hosts(Rate, 0);
+    for (int I = 0; I < 5000; ++I) {
+      Hosts.Now += 1ms;
+      Hosts.heartbeat();
+      (void)Hosts.Asking->admit(Hosts.Limit.Key, Hosts.Now);
+      Hosts.Asking->advance(Hosts.Now);
+      (void)Hosts.Asking->takeMessages();
+    }
+    const double Share = Hosts.Settings.floorShare() * Rate * 5 / 2;
+    const auto *Totals = Hosts.Asking->counters(Hosts.Limit.Key);
+    CHECK(Totals->Floor <= Share + 1);
+    CHECK(Totals->Floor >= 0.9 * Share);
+    CHECK(Totals->Granted == 0);
+  }
   SUBCASE("an owner that was paused grants nothing at first") {
     Pair Hosts(100, 50);
     Hosts.Now += 4s;
