--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -150,6 +150,9 @@
     if (Gossip)
       Gossip->spread(What);
   });
+  State.AccountLimits.setMembers([this] {
+    return Gossip ? Gossip->members() : std::span<const MemberRecord>();
+  });
   scheduleTick();
   return {};
 }
@@ -214,6 +217,7 @@
                                                  std::move(Callbacks)));
   if (Stopping)
     Gossip->planLeave();
+  State.AccountLimits.membersChanged();
   announceProgress();
   updateHosts();
   return {};
@@ -231,6 +235,7 @@
                      {"draining", Changed.Draining},
                      {"run", Changed.Host.Run.Value}});
   updateHosts();
+  State.AccountLimits.membersChanged();
   // The list of members does not contain the change yet.
   asio::post(Io, [this] {
     if (!Ended)
@@ -349,6 +354,7 @@
            !Registered->Worker.Leaving;
   });
   Sync.tick();
+  State.AccountLimits.tick();
   catchUpWithPeers();
   joinByStore();
   State.giveBackMemory();
@@ -438,7 +444,8 @@
       New.Traffic != Settings.Traffic || New.Lookup != Settings.Lookup ||
       New.Readiness != Settings.Readiness ||
       New.GossipPort != Settings.GossipPort ||
-      New.PeerPort != Settings.PeerPort || New.Host != Settings.Host;
+      New.PeerPort != Settings.PeerPort ||
+      New.AccountPort != Settings.AccountPort || New.Host != Settings.Host;
   if (AddressesChanged) {
     State.Log.write(LogClass::Decision, "reload_partial",
                     {{"reason", "addresses change at the next start only"}});
@@ -447,6 +454,7 @@
     New.Readiness = Settings.Readiness;
     New.GossipPort = Settings.GossipPort;
     New.PeerPort = Settings.PeerPort;
+    New.AccountPort = Settings.AccountPort;
     New.Host = Settings.Host;
   }
   Settings = std::move(New);
@@ -468,6 +476,7 @@
                  2 * Settings.TimeoutSlack;
   if (Gossip)
     Gossip->planLeave();
+  State.AccountLimits.membersChanged();
   Servers->Traffic->closeAfterAnswers();
   StopTimer.expires_after(
       std::min(Settings.ServeCached, Settings.GracePeriod / 2));
@@ -504,6 +513,7 @@
   if (Gossip)
     Gossip->leave();
   Sync.stop();
+  State.AccountLimits.stop();
   TickTimer.cancel();
   StopTimer.cancel();
   State.Log.stop();
