--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -51,8 +51,10 @@
 }
 
 //! Limits of the servers for readiness checks, look-ups and metrics.
-transport::HttpServerLimits controlServerLimits() {
+transport::HttpServerLimits controlServerLimits(
+    const std::shared_ptr<transport::CallerRegistry> &Accounts) {
   transport::HttpServerLimits Limits;
+  Limits.Accounts = Accounts;
   Limits.MaxBodyBytes = 4096;
   Limits.MaxConnections = 1024;
   return Limits;
@@ -101,13 +103,13 @@
   const std::string &Address = Settings.Traffic.Address;
   try {
     Servers->Readiness = std::make_unique<transport::HttpServer>(
-        Io, Settings.Readiness, controlServerLimits(),
+        Io, Settings.Readiness, controlServerLimits(State.CallerAccounts),
         [this](const transport::HttpRequest &Request,
                const transport::HttpServer::Reply &Reply) {
           Reply(answerReadiness(Request));
         });
     Servers->Lookup = std::make_unique<transport::HttpServer>(
-        Io, Settings.Lookup, controlServerLimits(),
+        Io, Settings.Lookup, controlServerLimits(State.CallerAccounts),
         [this](const transport::HttpRequest &Request,
                const transport::HttpServer::Reply &Reply) {
           Reply(answerLookup(Request));
@@ -120,7 +122,8 @@
     });
     if (Settings.MetricsPort != 0)
       Servers->Metrics = std::make_unique<transport::HttpServer>(
-          Io, Endpoint{Address, Settings.MetricsPort}, controlServerLimits(),
+          Io, Endpoint{Address, Settings.MetricsPort},
+          controlServerLimits(State.CallerAccounts),
           [this](const transport::HttpRequest &Request,
                  const transport::HttpServer::Reply &Reply) {
             Reply(answerMetrics(Request));
@@ -147,6 +150,9 @@
     if (Gossip)
       Gossip->spread(What);
   });
+  State.AccountLimits.setMembers([this] {
+    return Gossip ? Gossip->members() : std::span<const MemberRecord>();
+  });
   scheduleTick();
   return {};
 }
@@ -211,6 +217,7 @@
                                                  std::move(Callbacks)));
   if (Stopping)
     Gossip->planLeave();
+  State.AccountLimits.membersChanged();
   announceProgress();
   updateHosts();
   return {};
@@ -228,6 +235,7 @@
                      {"draining", Changed.Draining},
                      {"run", Changed.Host.Run.Value}});
   updateHosts();
+  State.AccountLimits.membersChanged();
   // The list of members does not contain the change yet.
   asio::post(Io, [this] {
     if (!Ended)
@@ -261,10 +269,8 @@
 }
 
 void GatewayDaemon::onStoreEra(StoreEra Era) {
-  // The store's copy may lack this host's row. A write whose answer states the
-  // new era may have been lost as well.
-  HostAnnounced = false;
-  ++StoreEraRises;
+  NewestStoreEra = Era;
+  // The store's copy may lack this host's row, which is written without delay.
   NextJoinAt = std::max(State.now(), StartedAt + JoinDelay);
   Sync.onEra(Era);
 }
@@ -298,13 +304,16 @@
   FeedSourceChoice Choice(Settings.Host);
   // Only readers, and a host that is alone, write their addresses: one
   // reachable host is enough for another one to join.
-  if (!HostAnnounced &&
-      (IsAlone || Choice.isReader(Members, Settings.Domain))) {
+  const bool IsLost = AnnouncedEra && *AnnouncedEra < storeEra();
+  if (IsLost || (!AnnouncedEra &&
+                 (IsAlone || Choice.isReader(Members, Settings.Domain)))) {
     NextJoinAt = State.now() + JoinRetry;
     Platform.Store.AnnounceHost(Settings.Host.value(), Settings.Traffic.Address,
-                                [this, Rises = StoreEraRises](bool Done) {
-                                  HostAnnounced =
-                                      Done && Rises == StoreEraRises;
+                                [this, Era = storeEra()](bool Done) {
+                                  // An answer that states a later era may be
+                                  // to a write that the restore has lost.
+                                  if (Done)
+                                    AnnouncedEra = Era;
                                 });
   }
   if (!IsAlone)
@@ -345,8 +354,10 @@
            !Registered->Worker.Leaving;
   });
   Sync.tick();
+  State.AccountLimits.tick();
   catchUpWithPeers();
   joinByStore();
+  State.giveBackMemory();
 }
 
 bool GatewayDaemon::isReady() const {
@@ -404,6 +415,7 @@
       {"config_version", static_cast<double>(State.configVersion())},
       {"requests_in_flight", *State.InFlight},
       {"store_connected", Sync.isConnected() ? 1 : 0},
+      {"store_era", storeEra()},
       {"log_lines_dropped", static_cast<double>(State.Log.dropped())},
       {"caller_connections",
        static_cast<double>(Servers->Traffic->openConnections())},
@@ -432,7 +444,8 @@
       New.Traffic != Settings.Traffic || New.Lookup != Settings.Lookup ||
       New.Readiness != Settings.Readiness ||
       New.GossipPort != Settings.GossipPort ||
-      New.PeerPort != Settings.PeerPort || New.Host != Settings.Host;
+      New.PeerPort != Settings.PeerPort ||
+      New.AccountPort != Settings.AccountPort || New.Host != Settings.Host;
   if (AddressesChanged) {
     State.Log.write(LogClass::Decision, "reload_partial",
                     {{"reason", "addresses change at the next start only"}});
@@ -441,6 +454,7 @@
     New.Readiness = Settings.Readiness;
     New.GossipPort = Settings.GossipPort;
     New.PeerPort = Settings.PeerPort;
+    New.AccountPort = Settings.AccountPort;
     New.Host = Settings.Host;
   }
   Settings = std::move(New);
@@ -462,6 +476,7 @@
                  2 * Settings.TimeoutSlack;
   if (Gossip)
     Gossip->planLeave();
+  State.AccountLimits.membersChanged();
   Servers->Traffic->closeAfterAnswers();
   StopTimer.expires_after(
       std::min(Settings.ServeCached, Settings.GracePeriod / 2));
@@ -498,6 +513,7 @@
   if (Gossip)
     Gossip->leave();
   Sync.stop();
+  State.AccountLimits.stop();
   TickTimer.cancel();
   StopTimer.cancel();
   State.Log.stop();
