--- a/src/masticgap/transport/caller_registry.cpp
+++ b/src/masticgap/transport/caller_registry.cpp
@@ -63,7 +63,7 @@
 }
 
 std::shared_ptr<CallerRegistry>
-CallerRegistry::create(std::shared_ptr<BufferBudget> Budget,
+CallerRegistry::create(const std::shared_ptr<BufferBudget> &Budget,
                        std::size_t MaxConnections, Clock Now) {
   std::shared_ptr<CallerRegistry> Result(
       new CallerRegistry(Budget, MaxConnections, std::move(Now)));
--- a/src/masticgap/transport/caller_registry.hpp
+++ b/src/masticgap/transport/caller_registry.hpp
@@ -61,7 +61,7 @@
   using Clock = std::function<Instant()>;
 
   static std::shared_ptr<CallerRegistry>
-  create(std::shared_ptr<coordination::BufferBudget> Budget,
+  create(const std::shared_ptr<coordination::BufferBudget> &Budget,
          std::size_t MaxConnections, Clock Now);
 
   //! Sets what is called after a connection was closed.
--- a/tests/coordination/fleet/worker_directory.tests.cpp
+++ b/tests/coordination/fleet/worker_directory.tests.cpp
@@ -228,24 +228,24 @@
   enum class End { Removed, RemovedLater, Lapsed, Leaving, Announced, Peer };
   struct Case {
     const char *Name;
-    End How;
-    StoreEra Era;      //!< Of the next registration; the worker ended in era 1.
     std::uint64_t Run; //!< Of the next registration.
+    End How;
+    StoreEra Era; //!< Of the next registration; the worker ended in era 1.
     bool Used;
   };
   const Case Cases[] = {
-      {"removed", End::Removed, 2, 5, false},
-      {"removed, two eras later", End::Removed, 3, 5, false},
-      {"removed, written again in the same era", End::Removed, 1, 5, true},
-      {"removed, new incarnation", End::Removed, 2, 6, true},
-      {"removed, older incarnation", End::Removed, 2, 4, false},
-      {"possible lapse that became definite", End::RemovedLater, 2, 5, false},
-      {"possible lapse", End::Lapsed, 2, 5, true},
-      {"leaving", End::Leaving, 2, 5, false},
-      {"leaving, new incarnation", End::Leaving, 2, 6, true},
-      {"announced its leaving", End::Announced, 2, 5, false},
-      {"a peer knows", End::Peer, 2, 5, false},
-      {"a peer knows, same era", End::Peer, 1, 5, true},
+      {"removed", 5, End::Removed, 2, false},
+      {"removed, two eras later", 5, End::Removed, 3, false},
+      {"removed, written again in the same era", 5, End::Removed, 1, true},
+      {"removed, new incarnation", 6, End::Removed, 2, true},
+      {"removed, older incarnation", 4, End::Removed, 2, false},
+      {"possible lapse that became definite", 5, End::RemovedLater, 2, false},
+      {"possible lapse", 5, End::Lapsed, 2, true},
+      {"leaving", 5, End::Leaving, 2, false},
+      {"leaving, new incarnation", 6, End::Leaving, 2, true},
+      {"announced its leaving", 5, End::Announced, 2, false},
+      {"a peer knows", 5, End::Peer, 2, false},
+      {"a peer knows, same era", 5, End::Peer, 1, true},
   };
   for (const Case &C : Cases) {
     CAPTURE(C.Name);
