Keep the Host field out of the fingerprint of a request

Cause: the Host field became part of the fingerprint so that routes of two host names are told apart. Callers of masticgap-entry name the entry host there, so each of 8 entry hosts counted the deaths of workers on its own. Change: the caller of requestFingerprint states a scope; the gateway passes the host name of the route, the entry daemon nothing. Test: a fingerprint is that of the request, wherever it is sent.

--- a/src/masticgap/transport/request_fingerprint.hpp
+++ b/src/masticgap/transport/request_fingerprint.hpp
@@ -12,11 +12,12 @@
 //! \param Body complete body, or the first part of a large one.
 //! \param Streamed whether more of the body follows; the fingerprint then
 //! covers \p Body and the Content-Length.
-//! \param Caller address of the caller, if only requests of the same caller
-//! count as repeats; else empty.
+//! \param Scope what else a repeat has in common with the request, such as the
+//! caller or the host name that selects the route; empty: nothing. The Host
+//! field is not covered, as it may name the entry host that was asked.
 coordination::Fingerprint
 requestFingerprint(const boost::beast::http::request_header<> &Head,
                    std::string_view Body, bool Streamed,
-                   std::string_view Caller = {});
+                   std::string_view Scope = {});
 
 } // namespace masticgap::transport
