--- a/scripts/local/deployment.py
+++ b/scripts/local/deployment.py
@@ -317,8 +317,8 @@
     """Waits until the callers end; returns their report."""
     process.wait(timeout)
     last = None
-    while not process.lines.empty():
-        line = process.lines.get()
+    # The reader thread may still be behind the end of the process.
+    while (line := process.lines.get(timeout=timeout)) is not None:
         last = line or last
     if last is None:
         raise RuntimeError(f"{process.name} printed no report; see {process.log.name}")
