Restart the buckets of an owner that was isolated

An owner of accounts that is isolated alone detects the deaths of the other members one by one, which takes 71 s at 143 hosts. Until then it kept its full bucket and granted credit beside its successor, and after the isolation both granted until all hosts agreed again. Only a pause of the process restarted the buckets.

A host now restarts its buckets as a new owner does if it got no message of another member for 1.5 s although it knows live members, and if a gossip message states that its sender regards this host as dead. The second rule covers a host whose datagrams are lost in one direction only: others probe it as a dead member, so that it is not without messages.

The new test isolates owners and other hosts, in both directions or in one, for 2 to 15 s. The hosts of the test world now exchange gossip messages, which the unit tests with two hosts need as well.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -91,6 +91,7 @@
                        << "; this process stops";
             Context.Out.Superseded();
           },
+          {},
           {}};
 }
 
--- a/src/gateway/account_exchange.cpp
+++ b/src/gateway/account_exchange.cpp
@@ -205,6 +205,15 @@
   });
 }
 
+void AccountExchange::messageReceived(bool SaysDead) {
+  if (!Limiter)
+    return;
+  if (SaysDead)
+    Limiter->recordDeclaredDead(transport::now());
+  else
+    Limiter->recordContact(transport::now());
+}
+
 void AccountExchange::readMembers() {
   if (!MemberSource)
     return;
--- a/src/gateway/account_exchange.hpp
+++ b/src/gateway/account_exchange.hpp
@@ -53,6 +53,9 @@
   void setMembers(Members Source);
   //! Reads the members again, once all events of this turn are handled.
   void membersChanged();
+  //! Records a gossip message of another member.
+  //! \param SaysDead the sender regards this host as dead.
+  void messageReceived(bool SaysDead);
   //! Takes over the limits of a configuration.
   void adopt(const TrafficConfig &Config);
   //! To be called every AccountLimiter::HeartbeatPeriod.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -185,6 +185,9 @@
     if (Peer.Host.Id != Settings.Host)
       Sync.peerProgressed(Peer);
   };
+  Callbacks.Received = [this](bool SaysDead) {
+    State.AccountLimits.messageReceived(SaysDead);
+  };
   Callbacks.Sent = [this](const Endpoint &To, std::size_t Bytes) {
     State.Network.countPeer("gossip", To.Address, Bytes);
   };
--- a/src/masticgap/coordination/account_limit/account_limiter.cpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.cpp
@@ -1,5 +1,6 @@
 #include "masticgap/coordination/account_limit/account_limiter.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace masticgap::coordination {
@@ -9,6 +10,9 @@
 //! A shorter pause does not get a host declared dead: gossip suspects a member
 //! for three periods of 500 ms before.
 constexpr Duration MaxPause = std::chrono::milliseconds(1500);
+//! A host without messages of others for this time may have been declared dead.
+//! Gossip exchanges messages in each period of 500 ms.
+constexpr Duration MaxSilence = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -17,18 +21,37 @@
                                Instant Started)
     : Settings(Settings), Owners(Settings, std::move(Self), MinMembers),
       Owned(Settings, Owners, Started), Credit(Settings, Owners, Seed),
-      LastHeartbeat(Started) {}
+      LastHeartbeat(Started), LastContact(Started), RestartedAt(Started) {}
 
 void AccountLimiter::heartbeat(Instant Now) {
-  checkPause(Now);
+  checkContinuity(Now);
   LastHeartbeat = Now;
 }
 
-void AccountLimiter::checkPause(Instant Now) {
-  if (Now - LastHeartbeat <= MaxPause)
-    return;
-  LastHeartbeat = Now;
-  Owned.restart(Now);
+void AccountLimiter::checkContinuity(Instant Now) {
+  const bool Paused = Now - LastHeartbeat > MaxPause;
+  if (Paused)
+    LastHeartbeat = Now;
+  // The settle time is longer than a heartbeat period, so that the buckets do
+  // not fill before the next restart.
+  const bool Due = isIsolated(Now) && Now - RestartedAt >= HeartbeatPeriod;
+  if (Due)
+    RestartedAt = Now;
+  if (Paused || Due)
+    Owned.restart(Now);
+}
+
+bool AccountLimiter::isIsolated(Instant Now) const {
+  return Owners.liveMembers() > 1 &&
+         Now - LastContact >
+             std::max<Duration>(MaxSilence, Settings.GossipPeriod * 3);
+}
+
+void AccountLimiter::recordContact(Instant Now) {
+  checkContinuity(Now);
+  if (isIsolated(Now))
+    Owned.restart(Now);
+  LastContact = Now;
 }
 
 void AccountLimiter::setLimits(std::vector<AccountLimit> New, Instant Now) {
@@ -48,7 +71,7 @@
 }
 
 AccountAdmission AccountLimiter::admit(AccountKey Account, Instant Now) {
-  checkPause(Now);
+  checkContinuity(Now);
   AccountAdmission Result = Credit.admit(Account, Now);
   route(Now);
   // The owner may be this host, so that the decision is there already.
@@ -61,7 +84,7 @@
 
 void AccountLimiter::handle(const HostId &From, const AccountMessage &Message,
                             Instant Now) {
-  checkPause(Now);
+  recordContact(Now);
   if (const auto *Request = std::get_if<CreditRequest>(&Message))
     Messages.push_back({From, Owned.handle(From, *Request, Now)});
   else
@@ -70,7 +93,7 @@
 }
 
 void AccountLimiter::advance(Instant Now) {
-  checkPause(Now);
+  checkContinuity(Now);
   Credit.advance(Now);
   route(Now);
 }
--- a/src/masticgap/coordination/account_limit/account_limiter.hpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.hpp
@@ -18,11 +18,17 @@
                  std::size_t MinMembers, std::uint64_t Seed, Instant Started);
 
   //! Sets the start of the heartbeats if it is later than the process's.
-  void beginHeartbeat(Instant Now) { LastHeartbeat = Now; }
+  void beginHeartbeat(Instant Now) { LastHeartbeat = LastContact = Now; }
   //! Shows that the process runs; to be called every HeartbeatPeriod. After a
   //! longer pause other hosts may own this host's accounts, so that its buckets
   //! start again.
   void heartbeat(Instant Now);
+  //! Records a message of another member that does not regard this host as
+  //! dead. A host that gets none although it knows live members may have been
+  //! replaced as the owner of its accounts, so that its buckets start again.
+  void recordContact(Instant Now);
+  //! Records a message of a member that regards this host as dead.
+  void recordDeclaredDead(Instant Now) { Owned.restart(Now); }
 
   //! Sets the accounts that have a limit. Others are unlimited.
   void setLimits(std::vector<AccountLimit> New, Instant Now);
@@ -57,10 +63,16 @@
   }
   std::span<const AccountLimit> limits() const { return Limits; }
   const AccountLimitSettings &settings() const { return Settings; }
+  //! Returns the owner of an account as seen from here; empty if there is none.
+  const HostId &owner(AccountKey Account) const {
+    return Owners.owner(Account);
+  }
 
 private:
   void route(Instant Now);
-  void checkPause(Instant Now);
+  //! Starts the buckets again if this host may have been declared dead.
+  void checkContinuity(Instant Now);
+  bool isIsolated(Instant Now) const;
 
   AccountLimitSettings Settings;
   std::vector<AccountLimit> Limits;
@@ -69,6 +81,8 @@
   AccountCredit Credit;
   std::vector<OutgoingAccountMessage> Messages;
   Instant LastHeartbeat;
+  Instant LastContact;
+  Instant RestartedAt; //!< While isolated.
 };
 
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/account_limit/account_owners.hpp
+++ b/src/masticgap/coordination/account_limit/account_owners.hpp
@@ -53,6 +53,8 @@
   //! Takes into account that another member knows this number of members, which
   //! may be more than a host that has just started knows.
   void recordKnownByPeer(std::size_t Members, Instant Now);
+  //! Returns the number of live members, including this host.
+  std::size_t liveMembers() const { return Live; }
   //! Returns the time within which all members learn of a change.
   Duration settleTime() const { return Settings.settleTime(Known); }
   const HostId &self() const { return Self; }
--- a/src/masticgap/transport/gossip_node.cpp
+++ b/src/masticgap/transport/gossip_node.cpp
@@ -36,6 +36,15 @@
     F(Values...);
 }
 
+//! Returns whether the sender of a message regards a member as dead.
+bool saysDead(const GossipMessage &Message, const MemberRecord &About) {
+  return std::ranges::any_of(Message.Updates, [&](const MemberRecord &Record) {
+    return Record.Host.Id == About.Host.Id &&
+           Record.Host.Run == About.Host.Run &&
+           Record.Status == MemberStatus::Dead;
+  });
+}
+
 auto fail(ErrorKind Kind, std::string Message, std::string Remedy) {
   return leaf::new_error(Error{Kind, std::move(Message), std::move(Remedy)});
 }
@@ -191,6 +200,7 @@
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(Message,
                         protocol::decodeGossip(std::span(Buffer.data(), Size)));
+        callIfSet(Callbacks.Received, saysDead(Message, Member->self()));
         perform(
             Member->handle(GossipReceived{From, std::move(Message)}, now()));
         return {};
--- a/src/masticgap/transport/gossip_node.hpp
+++ b/src/masticgap/transport/gossip_node.hpp
@@ -32,6 +32,8 @@
   std::function<void(const coordination::MemberRecord &)> MemberProgressed;
   std::function<void(const coordination::TimedRumor &)> RumorLearned;
   std::function<void(const coordination::MemberRecord &)> SelfSuperseded;
+  //! A message of another member arrived.
+  std::function<void(bool SaysDead)> Received; //!< SaysDead: about this host.
   //! A datagram of some bytes was sent.
   std::function<void(const Endpoint &To, std::size_t Bytes)> Sent;
 };
--- a/tests/coordination/account_limit/account_limit.tests.cpp
+++ b/tests/coordination/account_limit/account_limit.tests.cpp
@@ -34,8 +34,7 @@
     }
     while (Now < Start + 20s) {
       Now += AccountLimiter::HeartbeatPeriod;
-      One.heartbeat(Now);
-      Two.heartbeat(Now);
+      heartbeat();
     }
     AccountOwners Owners(Settings, HostId("h1"), 2);
     Owners.setAccounts(All);
@@ -53,9 +52,12 @@
     return All.front().What;
   }
 
+  //! Gossip in both directions.
   void heartbeat() {
-    One.heartbeat(Now);
-    Two.heartbeat(Now);
+    for (AccountLimiter *Host : {&One, &Two}) {
+      Host->heartbeat(Now);
+      Host->recordContact(Now);
+    }
   }
 
   //! Returns whether there is credit at the asking host.
@@ -344,3 +346,40 @@
         }
       });
 }
+
+// Guards against an owner that keeps its full bucket while it is isolated and
+// another host has become the owner: after the isolation both grant credit.
+TEST_CASE("the limits of accounts hold when their owners were isolated") {
+  masticgap::tests::forEachSeed(
+      "the limits of accounts hold when their owners were isolated",
+      [](std::uint64_t Seed) {
+        constexpr std::size_t Count = 24;
+        std::vector<AccountLoad> Loads{{limitOf("a", 40, 80), 320, 0, Count},
+                                       {limitOf("b", 60, 0), 300, 0, Count},
+                                       {limitOf("c", 10, 60), 80, 0, 8},
+                                       {limitOf("d", 100, 100), 60, 0, Count}};
+        AccountWorld World(Count, Loads, Seed);
+        std::mt19937_64 Random(Seed);
+        World.run(10s);
+        for (int Step = 0; Step < 6; ++Step) {
+          std::vector<std::size_t> Isolated;
+          for (std::size_t I = 0; I < Loads.size(); ++I)
+            if (Random() % 2 == 0)
+              Isolated.push_back(World.owner(I));
+          // Others are isolated at the same time, as in the event of a link.
+          for (std::size_t I = Random() % 9; I > 0; --I)
+            Isolated.push_back(Random() % Count);
+          const auto Direction = Random() % 3;
+          for (const std::size_t Host : Isolated)
+            World.isolate(Host, Direction == 1, Direction == 2);
+          World.run(std::chrono::milliseconds(2000 + Random() % 13000));
+          for (const std::size_t Host : Isolated)
+            World.isolate(Host, true, true);
+          World.run(std::chrono::milliseconds(500 + Random() % 12000));
+        }
+        for (std::size_t I = 0; I < Loads.size(); ++I) {
+          CAPTURE(I);
+          CHECK(World.totals(I).LargestExcess <= 0);
+        }
+      });
+}
--- a/tests/coordination/account_limit/account_world.cpp
+++ b/tests/coordination/account_limit/account_world.cpp
@@ -59,6 +59,11 @@
   return From % Regions == To % Regions ? between(0.2, 2) : between(12, 20);
 }
 
+bool AccountWorld::reaches(std::size_t From, std::size_t To) const {
+  return Hosts[From].Part == Hosts[To].Part && Hosts[From].Sends &&
+         Hosts[To].Receives;
+}
+
 std::vector<AccountLimit> AccountWorld::limits() const {
   std::vector<AccountLimit> Result;
   for (const AccountLoad &Load : Loads)
@@ -159,7 +164,7 @@
     if (std::uniform_real_distribution<double>(0, 1)(Random) < Loss)
       continue;
     at(Now + oneWay(Index, To), [this, Index, To, What = Message.What] {
-      if (Hosts[Index].Part != Hosts[To].Part)
+      if (!reaches(Index, To))
         return;
       onHost(To, [this, Index, To, What] {
         if (!Hosts[To].Running)
@@ -190,11 +195,41 @@
     if (!Target.Running || Target.Run != Run)
       return;
     Target.Limiter->heartbeat(Now);
+    gossip(Index);
     at(Now + AccountLimiter::HeartbeatPeriod,
        [this, Index, Run] { heartbeat(Index, Run); });
   });
 }
 
+void AccountWorld::gossip(std::size_t From) {
+  // A probe of a random member; dead members are probed rarely.
+  const std::size_t To = Random() % Hosts.size();
+  const bool IsLive = Hosts[From].View[To] == FleetMemberStatus::Live;
+  if (To != From && (IsLive || Random() % 10 == 0))
+    deliverGossip(From, To, true);
+}
+
+void AccountWorld::deliverGossip(std::size_t From, std::size_t To,
+                                 bool Answered) {
+  if (std::uniform_real_distribution<double>(0, 1)(Random) < Loss)
+    return;
+  at(Now + oneWay(From, To), [this, From, To, Answered] {
+    if (!reaches(From, To))
+      return;
+    const bool SaysDead = Hosts[From].View[To] == FleetMemberStatus::Dead;
+    onHost(To, [this, From, To, Answered, SaysDead] {
+      if (!Hosts[To].Running)
+        return;
+      if (SaysDead)
+        Hosts[To].Limiter->recordDeclaredDead(Now);
+      else
+        Hosts[To].Limiter->recordContact(Now);
+      if (Answered)
+        deliverGossip(To, From, false);
+    });
+  });
+}
+
 void AccountWorld::tell(std::size_t Viewer) {
   onHost(Viewer, [this, Viewer] {
     Host &Target = Hosts[Viewer];
@@ -225,7 +260,7 @@
     if (I == Target)
       continue;
     const bool Reached =
-        Hosts[I].Part == Hosts[Target].Part && Hosts[Target].Running;
+        reaches(Target, I) && reaches(I, Target) && Hosts[Target].Running;
     if (Hosts[I].View[Target] == FleetMemberStatus::Left && !Reached)
       continue;
     see(I, Target, Reached ? FleetMemberStatus::Live : FleetMemberStatus::Dead,
@@ -301,6 +336,33 @@
     }
 }
 
+void AccountWorld::isolate(std::size_t Index, bool Sends, bool Receives) {
+  Host &Target = Hosts[Index];
+  Target.Sends = Sends;
+  Target.Receives = Receives;
+  const bool Reached = Sends && Receives;
+  updateViews(Index);
+  Duration Probed = between(0, 500);
+  for (std::size_t I = 0; I < Hosts.size(); ++I) {
+    if (I == Index || !Hosts[I].Running)
+      continue;
+    see(Index, I, Reached ? FleetMemberStatus::Live : FleetMemberStatus::Dead,
+        Reached ? between(100, 1500)
+                : Probed + std::chrono::milliseconds(2000));
+    Probed += AccountLimiter::HeartbeatPeriod;
+  }
+}
+
+std::size_t AccountWorld::owner(std::size_t Load) const {
+  const auto Viewer = std::ranges::find_if(Hosts, [](const Host &Each) {
+    return Each.Running && Each.Sends && Each.Receives;
+  });
+  const HostId &Owner = Viewer->Limiter->owner(Loads[Load].Limit.Key);
+  return Owner.empty()
+             ? 0
+             : static_cast<std::size_t>(std::stoul(Owner.value().substr(1)));
+}
+
 void AccountWorld::setLimit(std::size_t Load, AccountLimit Limit) {
   const AccountLimit Old = std::exchange(Loads[Load].Limit, Limit);
   // A lower limit is binding one window, and the time until all hosts have the
--- a/tests/coordination/account_limit/account_world.hpp
+++ b/tests/coordination/account_limit/account_world.hpp
@@ -43,6 +43,11 @@
   void pause(std::size_t Host, Duration Time);
   //! Hosts of different parts cannot reach each other.
   void cut(const std::function<unsigned(std::size_t)> &Part);
+  //! A host that cannot reach the others, is not reached by them, or both. It
+  //! learns of the other members' assumed deaths only one by one.
+  void isolate(std::size_t Host, bool Sends, bool Receives);
+  //! Returns the owner of an account as seen from a running host.
+  std::size_t owner(std::size_t Load) const;
   void setLimit(std::size_t Load, coordination::AccountLimit Limit);
   void setLoss(double Share) { Loss = Share; }
   void resetTotals();
@@ -60,6 +65,7 @@
     bool Running = false;
     Instant PausedUntil;
     unsigned Part = 0;
+    bool Sends = true, Receives = true; //!< To and from other hosts.
     unsigned Run = 0;
     std::vector<coordination::FleetMemberStatus> View; //!< By host.
     std::vector<unsigned> ViewChange;             //!< Counts changes under way.
@@ -78,6 +84,9 @@
   void onHost(std::size_t Index, std::function<void()> Run);
   Duration between(double MinMs, double MaxMs);
   Duration oneWay(std::size_t From, std::size_t To);
+  bool reaches(std::size_t From, std::size_t To) const;
+  void gossip(std::size_t From);
+  void deliverGossip(std::size_t From, std::size_t To, bool Answered);
   void scheduleRequest(std::size_t Load);
   void request(std::size_t Load, std::size_t Index);
   void admitted(std::size_t Load);
