Separate the evaluation of a request from carrying it out

Dispatcher::choose evaluated a request and changed state in one pass: it spent overflow credit, started the interval of cold workers and created records. Nothing could tell where a request would be sent without taking part in the choice.

The evaluation is now const, in dispatch_evaluation.cpp. choose() calls it and then carries out the decision. explain() calls the same code and returns the decision with all workers of the service, the parts of their costs and the reasons why they are not eligible. choose() does not collect costs, so that it allocates nothing for them. ColdStartLimiter gets a const check, and the cost of a candidate is split into its parts.

--- a/src/masticgap/coordination/affinity/affinity_choice.hpp
+++ b/src/masticgap/coordination/affinity/affinity_choice.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace masticgap::coordination {
 
@@ -55,6 +56,24 @@
   std::size_t AffinityRank = 0;
 };
 
+//! Cost of a candidate in nanoseconds; the sum of its parts.
+struct AffinityCost {
+  double QueueWait = 0;    //!< Expected time in its queue.
+  double Execution = 0;    //!< At a worker that has the object in memory.
+  double NotPreferred = 0; //!< The worker probably lacks the object.
+  double Cold = 0;
+  double RoundTrip = 0;
+  double Placement = 0; //!< For the rank and for the slots in use.
+  double Failures = 0;
+  std::size_t Rank = 0; //!< See AffinityResult::AffinityRank.
+
+  //! Returns the expected time until the answer.
+  double latency() const {
+    return QueueWait + (Execution + NotPreferred + Cold) + RoundTrip;
+  }
+  double total() const { return latency() + Placement + Failures; }
+};
+
 //! Returns a stable hash of a worker for rendezvous hashing.
 std::uint64_t workerHash(const WorkerId &Id);
 //! Returns a stable hash of an object of a service.
@@ -75,4 +94,11 @@
                  std::uint64_t Object, Duration TypicalLatency,
                  const AffinityPolicy &Policy);
 
+//! Returns the costs by which chooseByAffinity() compares the candidates, in
+//! their order.
+std::vector<AffinityCost>
+affinityCosts(std::span<const AffinityCandidate> Candidates,
+              std::uint64_t Object, Duration TypicalLatency,
+              const AffinityPolicy &Policy);
+
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/dispatch/dispatcher.cpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "masticgap/coordination/dispatch/dispatcher.hpp"
 
+#include "masticgap/coordination/dispatch/dispatcher_state.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -10,23 +12,8 @@
 
 namespace {
 
-//! Typical latency of a service that has not answered yet, as a share of
-//! the request's latency objective.
-constexpr double InitialLatencyShare = 0.5;
 //! Step of the running median of latencies, relative to the median.
 constexpr double MedianStep = 0.05;
-//! Share of a service's requests that may leave a full region in addition to
-//! the regional shares. Together with RegionShareLimits::StepPerSecond it stays
-//! below the specified cap: at most 0.15 of a region's requests move from one
-//! window of 2 s to the next.
-constexpr double OverflowShare = 0.05;
-//! Maximum overflow credit that can accumulate, in requests.
-constexpr double MaxOverflowCredit = 2;
-//! Time after which callers of a service without workers may retry; in the
-//! meantime a registration or an answer of the store may arrive.
-constexpr Duration NoWorkersRetryAfter = std::chrono::milliseconds(500);
-//! Share of a worker's connection limit that all hosts together use.
-constexpr double UsableConnectionShare = 0.8;
 //! Time constant of the average rate of a service's requests.
 constexpr std::chrono::duration<double> ArrivalDecayTime{5};
 
@@ -35,39 +22,21 @@
          std::exp(-(std::chrono::duration<double>(Age) / ArrivalDecayTime));
 }
 
-} // namespace
-
-//! State of one service.
-struct Dispatcher::ServiceState {
-  //! Worker of the service, with what a choice needs of it.
-  struct Member {
-    const KnownWorker *State = nullptr;
-    WorkerRecord *Record = nullptr;
-    std::uint64_t Hash = 0;
-  };
+WorkerEligibility toEligibility(WorkerExclusion Exclusion) {
+  switch (Exclusion) {
+  case WorkerExclusion::None:
+    return WorkerEligibility::Eligible;
+  case WorkerExclusion::Leaving:
+    return WorkerEligibility::Leaving;
+  case WorkerExclusion::Evacuated:
+    return WorkerEligibility::Evacuated;
+  case WorkerExclusion::Gone:
+    break;
+  }
+  return WorkerEligibility::Gone;
+}
 
-  ServiceState(const DispatcherSettings &Settings, Instant Start)
-      : Share(Settings.Region), Retries(Settings.Retries, Start) {}
-
-  RegionShare Share;
-  FleetRetryBudget Retries;
-  Duration TypicalLatency{0};
-  bool HasTypicalLatency = false;
-  double OverflowCredit = 0; //!< Requests that may leave a full region.
-  std::map<RegionName, JoinSchedule> Joining;
-  //! Decaying number of requests that arrived here, as of ArrivalsAt.
-  double Arrivals = 0;
-  Instant ArrivalsAt;
-  std::vector<Member> Members; //!< As of MembersRevision.
-  std::uint64_t MembersRevision = 0;
-};
-
-//! Workers that are eligible for one request.
-struct Dispatcher::CandidateSet {
-  std::vector<const ServiceState::Member *> Members;
-  std::vector<AffinityCandidate> Candidates;
-  Instant Now;
-};
+} // namespace
 
 Dispatcher::Dispatcher(DispatcherSettings NewSettings, Instant Start)
     : Settings(std::move(NewSettings)), Start(Start),
@@ -105,28 +74,45 @@
   auto &State = ServiceStates[Service];
   if (!State) {
     State = std::make_unique<ServiceState>(Settings, Start);
-    updateRegionShare(*State, Service, Now);
+    updateMembers(*State, Service);
+    updateRegionShare(*State, Now);
     updateJoining(*State, Service, Now);
   }
   return *State;
 }
 
+bool Dispatcher::isCurrent(const ServiceState &State,
+                           const ServiceName &Service) const {
+  return State.MembersRevision == Directory.workers(Service).Revision;
+}
+
 void Dispatcher::updateMembers(ServiceState &State,
                                const ServiceName &Service) {
-  const ServiceWorkers Known = Directory.workers(Service);
-  if (State.MembersRevision == Known.Revision)
+  if (isCurrent(State, Service))
     return;
+  for (const KnownWorker *Worker : Directory.workers(Service).Workers)
+    Records.try_emplace(Worker->Worker.Id);
+  listMembers(State, Service);
+}
+
+void Dispatcher::listMembers(ServiceState &State,
+                             const ServiceName &Service) const {
+  static const WorkerRecord NoRecord;
+  const ServiceWorkers Known = Directory.workers(Service);
   State.MembersRevision = Known.Revision;
   State.Members.clear();
-  for (const KnownWorker *Worker : Known.Workers)
+  for (const KnownWorker *Worker : Known.Workers) {
+    const WorkerRecord *Record = record(Worker->Worker.Id);
     State.Members.push_back(
-        {Worker, &Records[Worker->Worker.Id], workerHash(Worker->Worker.Id)});
+        {Worker, Record ? Record : &NoRecord, workerHash(Worker->Worker.Id)});
+  }
 }
 
 std::vector<WorkerId> Dispatcher::tick(Instant Now) {
   auto Dropped = Directory.expire(Now);
   for (auto &[Service, State] : ServiceStates) {
-    updateRegionShare(*State, Service, Now);
+    updateMembers(*State, Service);
+    updateRegionShare(*State, Now);
     updateJoining(*State, Service, Now);
   }
   // The records of workers in the directory stay, as Members refers to them.
@@ -136,13 +122,11 @@
   return Dropped;
 }
 
-void Dispatcher::updateRegionShare(ServiceState &State,
-                                   const ServiceName &Service, Instant Now) {
+void Dispatcher::updateRegionShare(ServiceState &State, Instant Now) const {
   std::map<RegionName, RegionCapacity> Capacities;
   for (const auto &[Domain, Region] : Settings.DomainRegions)
     Capacities[Region].Region = Region;
-  updateMembers(State, Service);
-  for (const ServiceState::Member &Member : State.Members) {
+  for (const ServiceMember &Member : State.Members) {
     const KnownWorker &WorkerState = *Member.State;
     if (Directory.exclusion(WorkerState, Now) != WorkerExclusion::None)
       continue;
@@ -167,7 +151,7 @@
 }
 
 void Dispatcher::updateJoining(ServiceState &State, const ServiceName &Service,
-                               Instant Now) {
+                               Instant Now) const {
   std::map<RegionName, std::vector<Instant>> Groups;
   for (const KnownWorker *Known : Directory.workers(Service).Workers)
     if (Directory.exclusion(*Known, Now) == WorkerExclusion::None)
@@ -191,55 +175,63 @@
   State.Arrivals = decayedArrivals(State.Arrivals, Now - State.ArrivalsAt) + 1;
   State.ArrivalsAt = Now;
   State.Retries.recordRequest(Now);
-  State.OverflowCredit =
-      std::min(MaxOverflowCredit, State.OverflowCredit + OverflowShare);
+  State.OverflowCredit = ServiceState::creditAfterArrival(State.OverflowCredit);
 }
 
-bool Dispatcher::mayOverflow(ServiceState &State) {
-  if (State.OverflowCredit < 1)
-    return false;
-  --State.OverflowCredit;
-  return true;
+WorkerEligibility Dispatcher::eligibility(const ServiceMember &Member,
+                                          const DispatchRequest &Request,
+                                          Instant Now) const {
+  const KnownWorker &WorkerState = *Member.State;
+  const WorkerDescriptor &Worker = WorkerState.Worker;
+  const WorkerExclusion Exclusion = Directory.exclusion(WorkerState, Now);
+  if (Exclusion != WorkerExclusion::None)
+    return toEligibility(Exclusion);
+  if (!Request.HomeRegions.empty() &&
+      std::ranges::find(Request.HomeRegions, Worker.Region) ==
+          Request.HomeRegions.end())
+    return WorkerEligibility::NotHomeRegion;
+  if (std::ranges::find(Request.Tried, Worker.Id) != Request.Tried.end())
+    return WorkerEligibility::Tried;
+  const WorkerRecord &Record = *Member.Record;
+  if (Record.isEjected(Now))
+    return WorkerEligibility::Ejected;
+  if (Now < WorkerState.ColdUntil) {
+    const ServiceTraits *Traits = traits(Request.Service);
+    const ColdSend Cold = ColdLimiter.check(
+        Member.Hash, Traits ? Traits->ColdRequestsPerSecond : 1, Hosts, Now);
+    if (Cold == ColdSend::Unseen)
+      return WorkerEligibility::ColdUnseen;
+    if (Cold == ColdSend::NotNow)
+      return WorkerEligibility::ColdRate;
+  }
+  // A worker that was unreachable gets one request at a time until it
+  // answers.
+  if (Record.awaitsRecovery() && Record.inFlight() > 0)
+    return WorkerEligibility::AwaitsRecovery;
+  return WorkerEligibility::Eligible;
 }
 
-Dispatcher::CandidateSet Dispatcher::candidates(const DispatchRequest &Request,
-                                                Instant Now) {
+Dispatcher::CandidateSet Dispatcher::candidates(const ServiceState &State,
+                                                const DispatchRequest &Request,
+                                                Instant Now) const {
   CandidateSet Result;
   Result.Now = Now;
-  const ServiceTraits *Traits = traits(Request.Service);
-  ServiceState &State = serviceState(Request.Service, Now);
-  updateMembers(State, Request.Service);
   Result.Members.reserve(State.Members.size());
   Result.Candidates.reserve(State.Members.size());
   // Most neighbours in the list are of the same region.
   const RegionName *LastRegion = nullptr;
   const JoinSchedule *Schedule = nullptr;
-  for (const ServiceState::Member &Member : State.Members) {
+  for (const ServiceMember &Member : State.Members) {
     const KnownWorker &WorkerState = *Member.State;
-    const WorkerId &Id = WorkerState.Worker.Id;
-    if (Directory.exclusion(WorkerState, Now) != WorkerExclusion::None)
-      continue;
-    if (!Request.HomeRegions.empty() &&
-        std::ranges::find(Request.HomeRegions, WorkerState.Worker.Region) ==
-            Request.HomeRegions.end())
-      continue;
-    if (std::ranges::find(Request.Tried, Id) != Request.Tried.end())
+    const WorkerEligibility Eligibility = eligibility(Member, Request, Now);
+    if (Eligibility == WorkerEligibility::ColdUnseen)
+      Result.ColdUnseen.push_back(&Member);
+    if (Eligibility != WorkerEligibility::Eligible)
       continue;
     const WorkerRecord &Record = *Member.Record;
-    if (Record.isEjected(Now))
-      continue;
     AffinityCandidate Candidate;
     Candidate.WorkerHash = Member.Hash;
     Candidate.Cold = Now < WorkerState.ColdUntil;
-    if (Candidate.Cold &&
-        !ColdLimiter.maySend(Candidate.WorkerHash,
-                             Traits ? Traits->ColdRequestsPerSecond : 1, Hosts,
-                             Now))
-      continue;
-    // A worker that was unreachable gets one request at a time until it
-    // answers.
-    if (Record.awaitsRecovery() && Record.inFlight() > 0)
-      continue;
     Candidate.Slots = WorkerState.Worker.Slots;
     Candidate.Occupancy = Record.occupancy(Now);
     Candidate.RelativeLatency = Record.relativeLatency(Now);
@@ -261,126 +253,6 @@
   return Result;
 }
 
-WorkerPick Dispatcher::makePick(const CandidateSet &Available,
-                                std::size_t Index) const {
-  const KnownWorker &WorkerState = *Available.Members[Index]->State;
-  WorkerPick Pick;
-  Pick.Worker = WorkerState.Worker;
-  Pick.Occupancy = Available.Candidates[Index].Occupancy;
-  Pick.Cold = Available.Candidates[Index].Cold;
-  const ServiceTraits *Traits = traits(WorkerState.Worker.Service);
-  const double Limit = Traits ? Traits->ConnectionLimit : 1;
-  // Each host may use at least two connections, even if that exceeds its share.
-  Pick.Connections = static_cast<unsigned>(std::max(
-      2.0, UsableConnectionShare * Limit /
-               static_cast<double>(std::max<std::size_t>(1, Hosts.size()))));
-  return Pick;
-}
-
-std::optional<WorkerPick> Dispatcher::bestCandidate(
-    const CandidateSet &Available, const ServiceState &State,
-    const RegionName *OnlyRegion, const DispatchRequest &Request) {
-  std::span<const AffinityCandidate> Candidates = Available.Candidates;
-  std::vector<AffinityCandidate> InRegion;
-  std::vector<std::size_t> Indices; // Of InRegion; empty: all candidates.
-  const auto IsElsewhere = [&](const ServiceState::Member *Member) {
-    return Member->State->Worker.Region != *OnlyRegion;
-  };
-  if (OnlyRegion && std::ranges::any_of(Available.Members, IsElsewhere)) {
-    for (std::size_t I = 0; I < Available.Members.size(); ++I) {
-      if (IsElsewhere(Available.Members[I]))
-        continue;
-      InRegion.push_back(Available.Candidates[I]);
-      Indices.push_back(I);
-    }
-    Candidates = InRegion;
-  }
-  const Duration TypicalLatency =
-      State.HasTypicalLatency
-          ? State.TypicalLatency
-          : std::chrono::duration_cast<Duration>(Request.LatencyObjective *
-                                                 InitialLatencyShare);
-  const auto Result = chooseByAffinity(Candidates, Request.Object,
-                                       TypicalLatency, Settings.Affinity);
-  if (!Result)
-    return std::nullopt;
-  WorkerPick Pick = makePick(
-      Available, Indices.empty() ? Result->Index : Indices[Result->Index]);
-  Pick.QueueWait = Result->QueueWait;
-  Pick.ExpectedLatency = Result->ExpectedLatency;
-  Pick.AffinityRank = Result->AffinityRank;
-  return Pick;
-}
-
-std::optional<WorkerPick> Dispatcher::pickTrial(const CandidateSet &Available,
-                                                const ServiceState &State) {
-  const auto JoiningIt = State.Joining.find(Settings.Region);
-  if (JoiningIt == State.Joining.end() || JoiningIt->second.joining() == 0)
-    return std::nullopt;
-  const JoinSchedule &Schedule = JoiningIt->second;
-  for (std::size_t I = 0; I < Available.Members.size(); ++I) {
-    const KnownWorker &WorkerState = *Available.Members[I]->State;
-    const AffinityCandidate &Candidate = Available.Candidates[I];
-    const WorkerStart Start{WorkerState.StartedAt, WorkerState.ColdUntil};
-    if (Available.Members[I]->Record->wasUsed() || Candidate.Cold ||
-        WorkerState.Worker.Region != Settings.Region ||
-        !Schedule.isJoining(Start, Available.Now) ||
-        !Schedule.trialIsDue(Start, Candidate.WorkerHash, Available.Now) ||
-        !isTrialHost(Candidate.WorkerHash, Settings.Self, LocalHosts))
-      continue;
-    WorkerPick Pick = makePick(Available, I);
-    Pick.AffinityRank = Settings.Affinity.PreferredWorkers;
-    return Pick;
-  }
-  return std::nullopt;
-}
-
-DispatchDecision Dispatcher::choose(const DispatchRequest &Request,
-                                    Instant Now) {
-  if (Now >= Request.Deadline)
-    return Rejection{RejectReason::NoTime, Duration(0), Duration(0)};
-  ServiceState &State = serviceState(Request.Service, Now);
-  const CandidateSet Available = candidates(Request, Now);
-  if (Available.Members.empty())
-    return Rejection{RejectReason::NoWorkers, NoWorkersRetryAfter, Duration(0)};
-  // One host of the region tries a joining worker, which may be the preferred
-  // worker of no object. This request is subject neither to admission nor to
-  // the regional share.
-  if (Request.Tried.empty())
-    if (auto Pick = pickTrial(Available, State))
-      return *Pick;
-
-  const auto Admit = [&](const WorkerPick &Pick) {
-    return decideAdmission({Request.Priority, Request.LatencyObjective,
-                            Request.Deadline - Now, Pick.QueueWait,
-                            Pick.ExpectedLatency},
-                           Settings.Admission);
-  };
-  std::optional<RegionName> Region;
-  // Home regions take precedence over the regional share.
-  if (Request.HomeRegions.empty())
-    Region = State.Share.regionOf(Request.Object);
-  std::optional<WorkerPick> Pick =
-      Region ? bestCandidate(Available, State, &*Region, Request)
-             : std::nullopt;
-  if (!Pick) {
-    // The region has no eligible worker.
-    Pick = bestCandidate(Available, State, nullptr, Request);
-    Region.reset();
-  }
-  AdmissionVerdict Verdict = Admit(*Pick);
-  if (std::holds_alternative<Admitted>(Verdict))
-    return *Pick;
-  if (Region) {
-    const auto Elsewhere = bestCandidate(Available, State, nullptr, Request);
-    if (std::holds_alternative<Admitted>(Admit(*Elsewhere)) &&
-        mayOverflow(State))
-      return *Elsewhere;
-  }
-  return Rejection{RejectReason::Overloaded,
-                   std::get<Rejected>(Verdict).RetryAfter, Pick->QueueWait};
-}
-
 void Dispatcher::recordSent(const WorkerPick &Pick, Instant Now) {
   Records[Pick.Worker.Id].recordSent(Now);
   if (Pick.Cold)
--- a/src/masticgap/coordination/dispatch/dispatcher.hpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.hpp
@@ -3,6 +3,8 @@
 #include "masticgap/coordination/admission/admission_policy.hpp"
 #include "masticgap/coordination/affinity/affinity_choice.hpp"
 #include "masticgap/coordination/affinity/worker_record.hpp"
+#include "masticgap/coordination/dispatch/dispatch_decision.hpp"
+#include "masticgap/coordination/dispatch/dispatch_explanation.hpp"
 #include "masticgap/coordination/fingerprint.hpp"
 #include "masticgap/coordination/fleet/worker_directory.hpp"
 #include "masticgap/coordination/fleet_budget/cold_start_limiter.hpp"
@@ -32,33 +34,6 @@
   std::span<const WorkerId> Tried; //!< Workers that are not chosen again.
 };
 
-//! Worker to which the request is sent.
-struct WorkerPick {
-  WorkerDescriptor Worker;
-  //! Maximum number of connections of this host to the worker.
-  unsigned Connections = 1;
-  Duration QueueWait{0};        //!< Expected time in the worker's queue.
-  Duration ExpectedLatency{0};  //!< Expected time until the answer.
-  double Occupancy = 0;         //!< Estimated requests at the worker.
-  std::size_t AffinityRank = 0; //!< In the object's rendezvous order.
-  bool Cold = false;
-};
-
-//! Reason why no worker is chosen.
-enum class RejectReason {
-  NoWorkers,  //!< No worker of the service accepts requests.
-  Overloaded, //!< The request would wait too long.
-  NoTime      //!< The deadline has passed.
-};
-
-//! The request is rejected before it is sent.
-struct Rejection {
-  RejectReason Reason = RejectReason::NoWorkers;
-  Duration RetryAfter{0};
-  Duration QueueWait{0}; //!< Expected at the best worker, if there is one.
-};
-using DispatchDecision = std::variant<WorkerPick, Rejection>;
-
 //! Result of a request at a worker.
 enum class WorkerVerdict {
   Answered,    //!< The worker answered, and the answer is not a failure.
@@ -105,6 +80,10 @@
   //! Records that a caller's request arrived; to be called once per request.
   void recordArrival(const ServiceName &Service, Instant Now);
   DispatchDecision choose(const DispatchRequest &Request, Instant Now);
+  //! Returns what choose() would decide about a request that arrived now, and
+  //! the figures of all workers. Changes nothing.
+  DispatchExplanation explain(const DispatchRequest &Request,
+                              Instant Now) const;
 
   void recordSent(const WorkerPick &Pick, Instant Now);
   void recordResult(const WorkerPick &Pick, WorkerVerdict Verdict,
@@ -132,27 +111,55 @@
   Duration coldStartDuration(const ServiceName &Service) const;
 
 private:
+  struct ServiceMember;
   struct ServiceState;
   struct CandidateSet;
+  struct Evaluation;
+  //! Candidates of one region.
+  struct RegionCandidates {
+    std::vector<AffinityCandidate> Candidates;
+    std::vector<std::size_t> Indices; //!< In the set of all candidates.
+  };
 
   ServiceState &serviceState(const ServiceName &Service, Instant Now);
+  //! Returns whether the list of the service's workers is up to date.
+  bool isCurrent(const ServiceState &State, const ServiceName &Service) const;
   //! Brings the list of the service's workers up to date.
   void updateMembers(ServiceState &State, const ServiceName &Service);
+  //! Lists the service's workers with the records that exist.
+  void listMembers(ServiceState &State, const ServiceName &Service) const;
   const ServiceTraits *traits(const ServiceName &Service) const;
-  CandidateSet candidates(const DispatchRequest &Request, Instant Now);
+  WorkerEligibility eligibility(const ServiceMember &Member,
+                                const DispatchRequest &Request,
+                                Instant Now) const;
+  CandidateSet candidates(const ServiceState &State,
+                          const DispatchRequest &Request, Instant Now) const;
+  //! Returns the typical latency of the service, or an assumption.
+  static Duration expectedWork(const ServiceState &State,
+                               const DispatchRequest &Request);
+  static RegionCandidates candidatesIn(const CandidateSet &Available,
+                                       const RegionName &Region);
   std::optional<WorkerPick> bestCandidate(const CandidateSet &Available,
                                           const ServiceState &State,
                                           const RegionName *OnlyRegion,
-                                          const DispatchRequest &Request);
+                                          const DispatchRequest &Request) const;
   //! Returns a joining worker of the local region that this host is to try.
   std::optional<WorkerPick> pickTrial(const CandidateSet &Available,
-                                      const ServiceState &State);
+                                      const ServiceState &State) const;
   WorkerPick makePick(const CandidateSet &Available, std::size_t Index) const;
-  static bool mayOverflow(ServiceState &State);
-  void updateRegionShare(ServiceState &State, const ServiceName &Service,
-                         Instant Now);
+  //! Decides about a request without carrying out the decision.
+  //! \param OverflowCredit requests that may leave a full region.
+  Evaluation evaluate(const ServiceState &State, double OverflowCredit,
+                      const DispatchRequest &Request, Instant Now) const;
+  //! Chooses among the candidates of \p Result and sets its other members.
+  void decide(const ServiceState &State, double OverflowCredit,
+              const DispatchRequest &Request, Evaluation &Result) const;
+  DispatchExplanation explain(const ServiceState &State,
+                              const DispatchRequest &Request,
+                              Instant Now) const;
+  void updateRegionShare(ServiceState &State, Instant Now) const;
   void updateJoining(ServiceState &State, const ServiceName &Service,
-                     Instant Now);
+                     Instant Now) const;
 
   DispatcherSettings Settings;
   Instant Start;
--- a/src/masticgap/coordination/fleet_budget/cold_start_limiter.hpp
+++ b/src/masticgap/coordination/fleet_budget/cold_start_limiter.hpp
@@ -10,6 +10,13 @@
 
 namespace masticgap::coordination {
 
+//! Whether a host may send a request to a cold worker.
+enum class ColdSend {
+  Allowed,
+  NotNow, //!< Other hosts send to the worker, or the interval has not passed.
+  Unseen  //!< The interval of this host starts when it is recorded.
+};
+
 //! Limits the rate of requests that all hosts together send to a cold worker.
 //!
 //! Every host computes the same small set of hosts that may send to a worker,
@@ -24,6 +31,18 @@
   //! \param Worker hash of the worker.
   //! \param Rate requests per second that the worker tolerates.
   //! \param Hosts all hosts that may send, including this one.
+  ColdSend check(std::uint64_t Worker, double Rate,
+                 std::span<const HostId> Hosts, Instant Now) const;
+
+  //! Starts the interval of a worker that check() reported as unseen.
+  //! \param Hosts number of hosts that may send, including this one.
+  void recordSeen(std::uint64_t Worker, double Rate, std::size_t Hosts,
+                  Instant Now);
+
+  //! Calls check() and, for a worker that is unseen, recordSeen().
+  //! \param Worker hash of the worker.
+  //! \param Rate requests per second that the worker tolerates.
+  //! \param Hosts all hosts that may send, including this one.
   bool maySend(std::uint64_t Worker, double Rate, std::span<const HostId> Hosts,
                Instant Now);
 
@@ -31,6 +50,11 @@
   void recordSent(std::uint64_t Worker, Instant Now);
 
 private:
+  //! Returns the number of hosts that send to a worker.
+  static std::size_t maxSenders(double Rate);
+  //! Returns the interval between two requests of a host to a worker.
+  static Duration minInterval(double Rate, std::size_t Hosts);
+
   HostId Self;
   std::map<std::uint64_t, Instant> LastSent; //!< By worker.
 };
