Give retried requests the rest of their objective in admission

Cause: the latency objective counts from a caller's first attempt, but admission compared the expected wait of each attempt with the whole objective. Retried requests that could still be on time were refused again, and late ones were admitted before requests that could be on time. Change: CallerPatience estimates for each route how much time a caller has used. A retried request that can still be on time has the wait limit of the next more urgent priority, any other retried request that of the next less urgent one. Active where the configuration has accounts. The line rejected states used_ms, the metric admission_refused counts first and retried requests by priority.

--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "gateway/settings.hpp"
 #include "gateway/traffic_account.hpp"
 #include "masticgap/coordination/admission/buffer_budget.hpp"
+#include "masticgap/coordination/admission/caller_patience.hpp"
 #include "masticgap/coordination/dispatch/dispatcher.hpp"
 #include "masticgap/coordination/traffic_split/split_schedule.hpp"
 #include "masticgap/transport/caller_registry.hpp"
@@ -55,6 +56,9 @@
   std::mt19937_64 Random;
   std::shared_ptr<const TrafficConfig> Config; //!< Null until one is read.
   coordination::Dispatcher Dispatch;
+  //! Remaining times that callers state; used while the configuration has
+  //! accounts.
+  coordination::CallerPatience Patience;
   coordination::SplitSchedule Splits;
   transport::WorkerConnectionPool Connections;
   CrashDetector Crashes;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -114,8 +114,7 @@
   // Without the caller's address: a request that crashes workers is sent again
   // from any address.
   RequestFingerprint = transport::requestFingerprint(
-      Request.Head, Request.Body, Request.Streamed,
-      MatchedRoute->HostName);
+      Request.Head, Request.Body, Request.Streamed, MatchedRoute->HostName);
   State.Dispatch.recordArrival(Service, ReceivedAt);
   std::optional<entry::CallerWatch> Watch;
   if (!Request.Streamed)
@@ -173,21 +172,38 @@
   std::int64_t RemainingMs = 0;
   const auto [End, Failure] =
       std::from_chars(Text.data(), Text.data() + Text.size(), RemainingMs);
+  std::optional<Duration> Remaining;
   if (Failure == std::errc() && End == Text.data() + Text.size() &&
       RemainingMs >= 0 && RemainingMs < MaxRequestTime.count())
-    Deadline =
-        std::min(Deadline, ReceivedAt + std::chrono::milliseconds(RemainingMs));
+    Remaining = std::chrono::milliseconds(RemainingMs);
+  if (Remaining)
+    Deadline = std::min(Deadline, ReceivedAt + *Remaining);
+  recordCaller(Remaining);
+}
+
+void RequestFlow::recordCaller(std::optional<Duration> Remaining) {
+  if (!Config->Accounts)
+    return;
+  const std::string &Name = MatchedRoute->Name;
+  if (Remaining)
+    State.Patience.record(Name, *Remaining, ReceivedAt);
+  Standing.emplace();
+  Standing->TimeUsed = State.Patience.timeUsed(Name, Remaining, ReceivedAt);
+}
+
+unsigned RequestFlow::priority() const {
+  return CallerAccount && CallerAccount->Priority ? *CallerAccount->Priority
+                                                  : MatchedRoute->Priority;
 }
 
 DispatchRequest RequestFlow::dispatchRequest() const {
   DispatchRequest Result;
   Result.Service = Service;
   Result.Object = Object;
-  Result.Priority = CallerAccount && CallerAccount->Priority
-                        ? *CallerAccount->Priority
-                        : MatchedRoute->Priority;
+  Result.Priority = priority();
   Result.LatencyObjective = MatchedRoute->LatencyObjective;
   Result.Deadline = Deadline;
+  Result.Caller = Standing;
   Result.HomeRegions = Regions->regions();
   Result.Tried = Tried;
   return Result;
@@ -271,6 +287,8 @@
         Rejected->Reason == RejectReason::NoWorkers    ? "no_workers"
         : Rejected->Reason == RejectReason::Overloaded ? "overloaded"
                                                        : "no_time";
+    if (Rejected->Reason == RejectReason::Overloaded)
+      countRefusal();
     logRejection(Reason, Rejected->QueueWait, Now);
     co_return unavailable(Reason, Rejected->RetryAfter);
   }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -85,6 +85,11 @@
   //! Returns the credit if no worker ran the request.
   void returnCredit(const RequestOutcome &End);
   void readDeadline();
+  //! Sets what admission uses of the caller, if the configuration has accounts.
+  //! \param Remaining time that the request states.
+  void recordCaller(std::optional<Duration> Remaining);
+  //! Returns the priority of the account or, without one, of the route.
+  unsigned priority() const;
   coordination::DispatchRequest dispatchRequest() const;
   boost::asio::awaitable<RequestOutcome> dispatch();
   boost::asio::awaitable<AttemptOutcome> tryWorker();
@@ -133,6 +138,8 @@
   boost::asio::awaitable<void> finish(RequestOutcome End);
   //! \returns false when the caller did not receive the answer.
   boost::asio::awaitable<bool> write(const LocalAnswer &Answer);
+  //! Counts a request that admission refused.
+  void countRefusal();
   void logRejection(std::string_view Reason, Duration Wait, Instant Now);
   void logAttempt(const coordination::WorkerPick &Pick, std::string_view Result,
                   Instant SentAt);
@@ -155,6 +162,8 @@
   //! Null if the configuration has no accounts or the route is public.
   const Account *CallerAccount = nullptr;
   std::optional<RegionLimit> Regions; //!< Set once the account is known.
+  //! Unset if the configuration has no accounts.
+  std::optional<coordination::CallerStanding> Standing;
   //! Credit for the next attempt.
   std::optional<coordination::AccountAdmitted> Credit;
   Instant CreditUsableUntil; //!< The request has to reach a worker before.
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -1,6 +1,7 @@
 // Logging and metrics of a request.
 #include "gateway/request_flow.hpp"
 
+#include <algorithm>
 #include <string>
 
 namespace masticgap::gateway {
@@ -9,6 +10,10 @@
 
 namespace {
 
+//! Less urgent priorities are counted as this one, so that the number of series
+//! is limited.
+constexpr unsigned MaxCountedPriority = 9;
+
 double milliseconds(Duration Time) {
   return std::chrono::duration<double, std::milli>(Time).count();
 }
@@ -42,18 +47,30 @@
     State.Stats.countAccount({}, Outcome);
 }
 
+void RequestFlow::countRefusal() {
+  if (!Standing)
+    return;
+  const std::string Kind =
+      Standing->TimeUsed > Duration(0) ? "retried_" : "first_";
+  State.Stats.count(
+      "admission_refused",
+      Kind + std::to_string(std::min(priority(), MaxCountedPriority)));
+}
+
 void RequestFlow::logRejection(std::string_view Reason, Duration Wait,
                                Instant Now) {
-  State.Log.write(LogClass::Decision, "rejected",
-                  {{"id", Id},
-                   {"route", MatchedRoute->Name},
-                   {"service", Service.value()},
-                   {"account", accountName()},
-                   {"reason", Reason},
-                   {"wait_ms", milliseconds(Wait)},
-                   {"usable", static_cast<std::uint64_t>(
-                                  State.Dispatch.usableWorkers(Service, Now))},
-                   {"version", Config->Version}});
+  State.Log.write(
+      LogClass::Decision, "rejected",
+      {{"id", Id},
+       {"route", MatchedRoute->Name},
+       {"service", Service.value()},
+       {"account", accountName()},
+       {"reason", Reason},
+       {"wait_ms", milliseconds(Wait)},
+       {"used_ms", milliseconds(Standing ? Standing->TimeUsed : Duration(0))},
+       {"usable",
+        static_cast<std::uint64_t>(State.Dispatch.usableWorkers(Service, Now))},
+       {"version", Config->Version}});
 }
 
 void RequestFlow::logAttempt(const WorkerPick &Pick, std::string_view Result,
--- a/src/masticgap/coordination/admission/admission_policy.hpp
+++ b/src/masticgap/coordination/admission/admission_policy.hpp
@@ -2,10 +2,18 @@
 
 #include "masticgap/state/time.hpp"
 
+#include <optional>
 #include <variant>
 
 namespace masticgap::coordination {
 
+//! What is known of the caller of a request.
+struct CallerStanding {
+  //! Part of the objective that earlier attempts of the caller have used; above
+  //! 0 for retried requests only.
+  Duration TimeUsed{0};
+};
+
 //! Request to be admitted, with the estimates for its best worker.
 struct AdmissionRequest {
   unsigned Priority = 0;        //!< 0 is the most urgent.
@@ -14,6 +22,9 @@
   Duration QueueWait{0};        //!< Expected time in the worker's queue.
   Duration ExpectedLatency{
       0}; //!< Expected time until the answer, including the wait.
+  //! Unset where the configuration has no accounts; all requests of a route and
+  //! priority are equal then.
+  std::optional<CallerStanding> Caller = {};
 };
 
 //! Limits of admission, relative to the latency objective.
@@ -47,6 +58,10 @@
 //! Decides whether a request is sent to its worker. Under overload, requests
 //! that cannot be answered in time are rejected before they occupy a place in
 //! a queue, the least urgent requests first.
+//!
+//! The objective counts from the caller's first attempt. A retried request that
+//! can still be answered within it has the wait limit of the next more urgent
+//! priority, any other retried request that of the next less urgent one.
 AdmissionVerdict decideAdmission(const AdmissionRequest &Request,
                                  const AdmissionPolicy &Policy = {});
 
--- a/src/masticgap/coordination/dispatch/dispatcher.cpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.cpp
@@ -353,7 +353,7 @@
   const auto Admit = [&](const WorkerPick &Pick) {
     return decideAdmission({Request.Priority, Request.LatencyObjective,
                             Request.Deadline - Now, Pick.QueueWait,
-                            Pick.ExpectedLatency},
+                            Pick.ExpectedLatency, Request.Caller},
                            Settings.Admission);
   };
   std::optional<RegionName> Region;
--- a/src/masticgap/coordination/dispatch/dispatcher.hpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.hpp
@@ -28,6 +28,7 @@
   unsigned Priority = 0;
   Duration LatencyObjective{0};
   Instant Deadline; //!< Deadline or route timeout, whichever is earlier.
+  std::optional<CallerStanding> Caller;    //!< For admission.
   std::span<const RegionName> HomeRegions; //!< Empty: any region.
   std::span<const WorkerId> Tried; //!< Workers that are not chosen again.
 };
--- a/tests/coordination/admission/admission_policy.tests.cpp
+++ b/tests/coordination/admission/admission_policy.tests.cpp
@@ -45,6 +45,45 @@
   }
 }
 
+// Guards against a retried request that is refused although it can still be on
+// time, and one that delays requests that can be.
+TEST_CASE("a retried request is admitted within the rest of its objective") {
+  struct Case {
+    const char *Name;
+    unsigned Priority;
+    Duration TimeUsed;
+    Duration TimeLeft;
+    Duration QueueWait;
+    bool Admitted;
+  };
+  // The objective is 400 ms and an execution takes 100 ms.
+  const Case Cases[] = {
+      {"first request, wait within its limit", 1, 0ms, 2s, 300ms, true},
+      {"first request, wait above its limit", 1, 0ms, 2s, 310ms, false},
+      {"on time, limit of the more urgent priority", 2, 50ms, 2s, 250ms, true},
+      {"on time, wait above that limit", 2, 50ms, 2s, 310ms, false},
+      {"on time, most urgent", 0, 100ms, 2s, 200ms, true},
+      {"not on time, limit of the less urgent priority", 0, 101ms, 2s, 300ms,
+       true},
+      {"not on time, wait above that limit", 0, 101ms, 2s, 301ms, false},
+      {"objective used up, short wait", 1, 500ms, 2s, 200ms, true},
+      {"objective used up, long wait", 1, 500ms, 2s, 210ms, false},
+      {"objective used up, not before its deadline", 1, 500ms, 200ms, 150ms,
+       false},
+      {"least urgent, shortest limit", 9, 500ms, 2s, 160ms, true},
+      {"least urgent, above the shortest limit", 9, 500ms, 2s, 161ms, false},
+  };
+  for (const auto &C : Cases) {
+    CAPTURE(C.Name);
+    const AdmissionRequest Request{
+        C.Priority,          400ms,
+        C.TimeLeft,          C.QueueWait,
+        C.QueueWait + 100ms, CallerStanding{C.TimeUsed}};
+    CHECK(std::holds_alternative<Admitted>(decideAdmission(Request)) ==
+          C.Admitted);
+  }
+}
+
 // Simulates twice the load that a worker can serve. Guards against overload in
 // which nearly all answers are late, as without admission, and against
 // admission that does not prefer urgent requests.
--- a/tests/gateway/accounts.tests.cpp
+++ b/tests/gateway/accounts.tests.cpp
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 using namespace masticgap;
 using namespace masticgap::tests;
@@ -33,11 +34,13 @@
   }
 
   http::response<http::string_body> send(const std::string &Path,
-                                         const std::string &Fields) {
+                                         const std::string &Fields,
+                                         unsigned DeadlineMs = 20000) {
     asio::write(Socket, asio::buffer("GET " + Path +
                                      " HTTP/1.1\r\nHost: a.example\r\n"
                                      "Attempt-Id: id-1\r\n"
-                                     "Deadline-Milliseconds: 20000\r\n" +
+                                     "Deadline-Milliseconds: " +
+                                     std::to_string(DeadlineMs) + "\r\n" +
                                      Fields + "\r\n"));
     http::response<http::string_body> Answer;
     http::read(Socket, Buffer, Answer);
@@ -170,6 +173,45 @@
   CHECK(Caller.status("/safe/x", "key-a") == 200);
 }
 
+// Guards against retried requests that admission takes for first ones.
+TEST_CASE("refused requests are counted by priority and earlier attempts") {
+  ScriptedWorker Worker(answerAll);
+  GatewayFixture F;
+  // The queue is longer than any wait limit.
+  F.setLoadParser([](std::string_view) {
+    return coordination::QueueReport{.Running = 1, .Waiting = 1000000};
+  });
+  F.putWorker("w1", Worker.endpoint());
+  F.putConfigRow(config(1, Accounts));
+  F.start();
+  F.awaitReady();
+  KeptCaller Caller(F.settings().Traffic);
+  CHECK(Caller.status("/safe/x", "key-a") == 200);
+  struct Case {
+    const char *Key;
+    unsigned DeadlineMs;
+    const char *Counted;
+  };
+  const Case Cases[] = {{"key-a", 20000, "first_2"},
+                        {"key-a", 18000, "retried_2"},
+                        {"key-b1", 19980, "first_0"},
+                        {"key-b1", 19000, "retried_0"}};
+  for (const Case &C : Cases) {
+    CAPTURE(C.Counted);
+    CHECK(Caller
+              .send("/safe/x",
+                    std::string("Authorization: Bearer ") + C.Key + "\r\n",
+                    C.DeadlineMs)
+              .result_int() == 503);
+    const auto Metrics = F.get(
+        {F.settings().Traffic.Address, F.settings().MetricsPort}, "/metrics");
+    REQUIRE(Metrics);
+    CHECK(Metrics->body().find("masticgap_admission_refused_total{kind=\"" +
+                               std::string(C.Counted) + "\"} 1\n") !=
+          std::string::npos);
+  }
+}
+
 // Guards against a request that crashes a worker again for each key that it is
 // sent with.
 TEST_CASE("the key does not affect the fingerprint of a request") {
