State the time at which a refused request will be admitted

Cause: Retry-After was the time until the wait is half of the limit that the request has now. A retried request has another limit, so it was sent too late when it could still be on time, or too early when it could not. Change: with a known caller, Retry-After is the time until the expected wait is within the limit that the request will then have, also if the caller has less time. Test: a table checks the value and that the request is admitted after it. 7 cases of admission in coordination-tests passed.

--- a/src/masticgap/coordination/admission/admission_policy.cpp
+++ b/src/masticgap/coordination/admission/admission_policy.cpp
@@ -14,23 +14,45 @@
   return std::chrono::duration_cast<Duration>(Time * Factor);
 }
 
-//! Returns how many priorities the request is moved by: -1 is one more urgent.
-int priorityShift(const AdmissionRequest &Request) {
+//! Returns the longest wait of a request that is moved by priorities.
+//! \param Shift number of priorities; -1 is one more urgent.
+Duration waitLimit(const AdmissionRequest &Request,
+                   const AdmissionPolicy &Policy, int Shift) {
+  const double Priority = static_cast<double>(Request.Priority) + Shift;
+  return scaled(
+      Request.LatencyObjective,
+      std::max(Policy.MinWaitLimit,
+               Policy.UrgentMaxWait - Policy.WaitStepPerPriority * Priority));
+}
+
+//! Shifts of retried requests that can still be on time and that cannot.
+constexpr int OnTimeShift = -1;
+constexpr int LateShift = 1;
+
+Duration maxWait(const AdmissionRequest &Request,
+                 const AdmissionPolicy &Policy) {
   if (!Request.Caller || Request.Caller->TimeUsed <= Duration(0))
-    return 0;
+    return waitLimit(Request, Policy, 0);
   const bool OnTime = Request.Caller->TimeUsed + Request.ExpectedLatency <=
                       Request.LatencyObjective;
-  return OnTime ? -1 : 1;
+  return waitLimit(Request, Policy, OnTime ? OnTimeShift : LateShift);
 }
 
-Duration maxWait(const AdmissionRequest &Request,
-                 const AdmissionPolicy &Policy) {
-  const double Priority =
-      static_cast<double>(Request.Priority) + priorityShift(Request);
-  return scaled(
-      Request.LatencyObjective,
-      std::max(Policy.MinWaitLimit,
-               Policy.UrgentMaxWait - Policy.WaitStepPerPriority * Priority));
+//! Returns the time after which the expected wait is within the limit that the
+//! request will then have, if no other requests arrive.
+Duration retryAfter(const AdmissionRequest &Request,
+                    const AdmissionPolicy &Policy) {
+  const Duration Wait = Request.QueueWait;
+  if (!Request.Caller)
+    return std::max(MinRetryAfter, Wait - waitLimit(Request, Policy, 0) / 2);
+  const Duration OnTimeRetry =
+      std::max(MinRetryAfter, Wait - waitLimit(Request, Policy, OnTimeShift));
+  // The queue drains while the caller waits.
+  const Duration AnswerAfter = std::max(Wait, OnTimeRetry) +
+                               (Request.ExpectedLatency - Request.QueueWait);
+  if (Request.Caller->TimeUsed + AnswerAfter <= Request.LatencyObjective)
+    return OnTimeRetry;
+  return std::max(MinRetryAfter, Wait - waitLimit(Request, Policy, LateShift));
 }
 
 //! Returns whether the request cannot be answered before its deadline.
@@ -44,10 +66,10 @@
 
 AdmissionVerdict decideAdmission(const AdmissionRequest &Request,
                                  const AdmissionPolicy &Policy) {
-  const Duration MaxWait = maxWait(Request, Policy);
-  if (Request.QueueWait <= MaxWait && !isTooLate(Request, Policy))
+  if (Request.QueueWait <= maxWait(Request, Policy) &&
+      !isTooLate(Request, Policy))
     return Admitted{};
-  return Rejected{std::max(MinRetryAfter, Request.QueueWait - MaxWait / 2)};
+  return Rejected{retryAfter(Request, Policy)};
 }
 
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/admission/admission_policy.hpp
+++ b/src/masticgap/coordination/admission/admission_policy.hpp
@@ -48,8 +48,9 @@
 };
 //! The request is rejected immediately and has not run.
 struct Rejected {
-  //! Time until the expected wait has fallen to half of its limit, but at least
-  //! a fixed minimum.
+  //! At least a fixed minimum. With a known caller, the time until the expected
+  //! wait is within the limit that the request will then have, also if the
+  //! caller has less time; otherwise the time until it is half of its limit.
   Duration RetryAfter{0};
   friend bool operator==(const Rejected &, const Rejected &) = default;
 };
--- a/tests/coordination/admission/admission_policy.tests.cpp
+++ b/tests/coordination/admission/admission_policy.tests.cpp
@@ -84,6 +84,47 @@
   }
 }
 
+// Guards against a caller that is told to retry while its request would be
+// refused again, or later than it could be served.
+TEST_CASE("a refused request is admitted after its retry time") {
+  struct Case {
+    const char *Name;
+    unsigned Priority;
+    Duration TimeUsed;
+    Duration QueueWait;
+    Duration RetryAfter;
+  };
+  // The objective is 1 s and an execution takes 200 ms.
+  const Case Cases[] = {
+      {"within the more urgent limit at once", 2, 0ms, 600ms, 100ms},
+      {"within the more urgent limit later", 3, 0ms, 750ms, 250ms},
+      {"on time with all of the objective", 2, 0ms, 800ms, 100ms},
+      {"late by then", 2, 0ms, 810ms, 410ms},
+      {"late already", 0, 1200ms, 900ms, 150ms},
+      {"later than a third of the time left", 1, 0ms, 2s, 1500ms},
+      {"least urgent", 9, 0ms, 700ms, 300ms},
+  };
+  for (const auto &C : Cases) {
+    CAPTURE(C.Name);
+    AdmissionRequest Request{C.Priority,
+                             1s,
+                             3s,
+                             C.QueueWait,
+                             C.QueueWait + 200ms,
+                             CallerStanding{C.TimeUsed}};
+    const auto Verdict = decideAdmission(Request);
+    REQUIRE(std::holds_alternative<Rejected>(Verdict));
+    const Duration RetryAfter = std::get<Rejected>(Verdict).RetryAfter;
+    CHECK(RetryAfter == C.RetryAfter);
+    const Duration Drained = std::min(RetryAfter, C.QueueWait);
+    Request.TimeLeft -= RetryAfter;
+    Request.QueueWait -= Drained;
+    Request.ExpectedLatency -= Drained;
+    Request.Caller->TimeUsed += RetryAfter;
+    CHECK(std::holds_alternative<Admitted>(decideAdmission(Request)));
+  }
+}
+
 // Simulates twice the load that a worker can serve. Guards against overload in
 // which nearly all answers are late, as without admission, and against
 // admission that does not prefer urgent requests.
