--- a/src/masticgap/coordination/dispatch/dispatch_evaluation.cpp
+++ b/src/masticgap/coordination/dispatch/dispatch_evaluation.cpp
@@ -143,7 +143,7 @@
   const auto Admit = [&](const WorkerPick &Pick) {
     return decideAdmission({Request.Priority, Request.LatencyObjective,
                             Request.Deadline - Available.Now, Pick.QueueWait,
-                            Pick.ExpectedLatency},
+                            Pick.ExpectedLatency, Request.Caller},
                            Settings.Admission);
   };
   // Home regions take precedence over the regional share.
