Let requests wait for credit as long as it would be valid

A request now waits for as long as the credit that is requested for it would be valid. The share of the overage for the validity rises from 0.3 to 0.4, and the share for the way to a worker falls from 0.2 to 0.1, because only attempts after the first need it: 200 ms and 50 ms with the usual bounds. Before a timer refuses requests, the datagrams that have arrived are handled. A timer that is late by more than 50 ms shows that the host itself had no processor time: its requests wait once more, and the credit is requested again.

--- a/src/gateway/account_exchange.cpp
+++ b/src/gateway/account_exchange.cpp
@@ -30,6 +30,8 @@
 constexpr std::uint16_t GrantMark = 0xac02;
 //! Time between two log lines about one account.
 constexpr Duration LogPeriod = std::chrono::seconds(1);
+//! Datagrams that a timer handles before it refuses requests.
+constexpr std::size_t MaxPending = 64;
 //! Longest wait of the timer, so that it can always be armed.
 constexpr std::chrono::hours LongWait{24};
 
@@ -249,20 +251,33 @@
         // persistent error does not cause a busy loop.
         if (Failed)
           return;
-        onReceived(Size);
+        handleDatagram(Sender, {Buffer.data(), Size});
+        perform();
         receive();
       });
 }
 
-void AccountExchange::onReceived(std::size_t Size) {
-  const auto From = PeerHosts.find(Sender);
-  if (From == PeerHosts.end())
-    return;
-  const auto Message = decodeAccountMessage({Buffer.data(), Size});
-  if (!Message)
+void AccountExchange::receivePending() {
+  // The asynchronous receive has a buffer of its own.
+  DatagramBuffer Bytes{};
+  Udp::endpoint From;
+  error_code Failed;
+  for (std::size_t I = 0; Socket.is_open() && I < MaxPending; ++I) {
+    const std::size_t Size =
+        Socket.receive_from(asio::buffer(Bytes), From, 0, Failed);
+    if (Failed)
+      return;
+    handleDatagram(From, {Bytes.data(), Size});
+  }
+}
+
+void AccountExchange::handleDatagram(const Udp::endpoint &From,
+                                     std::string_view Bytes) {
+  const auto Peer = PeerHosts.find(From);
+  if (Peer == PeerHosts.end())
     return;
-  Limiter->handle(From->second, *Message, transport::now());
-  perform();
+  if (const auto Message = decodeAccountMessage(Bytes))
+    Limiter->handle(Peer->second, *Message, transport::now());
 }
 
 void AccountExchange::perform() {
@@ -299,6 +314,10 @@
     if (Failed || Weak.expired())
       return;
     TimerAt.reset();
+    // The answer of an owner may have arrived while the event loop was late.
+    if (const auto Due = Limiter->nextDeadline();
+        Due && *Due <= transport::now())
+      receivePending();
     Limiter->advance(transport::now());
     perform();
   });
--- a/src/gateway/account_exchange.hpp
+++ b/src/gateway/account_exchange.hpp
@@ -63,8 +63,9 @@
   //! Closes the socket.
   void stop();
 
-  //! Decides about a request of an account. It may wait for credit, for 100 ms
-  //! at most, or until the request is cancelled.
+  //! Decides about a request of an account. It may wait for as long as the
+  //! credit would be valid, twice if this host itself was late, or until the
+  //! request is cancelled.
   boost::asio::awaitable<Admission> admit(const Account &Caller,
                                           transport::AttemptControl &Control);
   //! Returns the credit of a request that reached no worker.
@@ -89,7 +90,9 @@
   void openSocket();
   void readMembers();
   void receive();
-  void onReceived(std::size_t Size);
+  //! Handles the datagrams that have arrived already.
+  void receivePending();
+  void handleDatagram(const Udp::endpoint &From, std::string_view Bytes);
   //! Carries out what the limiter has decided.
   void perform();
   void send(const coordination::OutgoingAccountMessage &Message);
@@ -114,7 +117,8 @@
   Udp::socket Socket;
   Udp::endpoint Sender;
   //! One byte more than the longest datagram, to detect longer ones.
-  std::array<char, MaxAccountDatagramBytes + 1> Buffer{};
+  using DatagramBuffer = std::array<char, MaxAccountDatagramBytes + 1>;
+  DatagramBuffer Buffer{};
   boost::asio::steady_timer Timer;
   std::optional<Instant> TimerAt;
   std::uint64_t Version = 0; //!< Of the configuration.
--- a/src/masticgap/coordination/account_limit/account_credit.cpp
+++ b/src/masticgap/coordination/account_limit/account_credit.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-//! Longest wait of a request: two round trips between regions and 20 ms for
-//! processing at hosts with little processor time.
-constexpr Duration Patience = std::chrono::milliseconds(100);
+//! A timer that fires later than this shows that the event loop of this host
+//! was late, and that the owner's answer may be as well.
+constexpr Duration MaxLateness = std::chrono::milliseconds(50);
 //! Demand that is requested ahead. Half of the longest validity, so that little
 //! credit expires.
 constexpr Duration AheadTime = std::chrono::milliseconds(100);
@@ -128,8 +128,8 @@
   const bool Refuse =
       Target.NoOwner
           ? Target.Open.has_value() || Now < Target.HoldUntil
-          : Now < Target.HoldUntil &&
-                Target.ExpectedAt + Settings.RoundTrip > Now + Patience;
+          : Now < Target.HoldUntil && Target.ExpectedAt + Settings.RoundTrip >
+                                          Now + Settings.creditValidity();
   if (Refuse || Target.Waiting.size() >= MaxWaiting) {
     const auto Result = withoutCredit(Target, Now);
     if (const auto *ByFloor = std::get_if<AccountAdmitted>(&Result))
@@ -138,7 +138,7 @@
     return std::get<OverLimit>(Result);
   }
   const std::uint64_t Id = NextWaiter++;
-  Target.Waiting.push_back({Id, Now + Patience});
+  Target.Waiting.push_back({Id, Now + Settings.creditValidity(), false});
   if (!Target.Open && Now >= Target.HoldUntil)
     ask(Target, Now);
   updateActive(Target);
@@ -242,7 +242,7 @@
 }
 
 void AccountCredit::refuseWaiting(State &Target, Instant Before, Instant Now) {
-  // Waiting requests are ordered by the end of their patience.
+  // Waiting requests are ordered by the end of their wait.
   while (!Target.Waiting.empty() && Target.Waiting.front().Until <= Before) {
     Decisions.push_back(
         {Target.Waiting.front().Id, withoutCredit(Target, Now)});
@@ -289,13 +289,25 @@
                        : std::max<Duration>(Expected, Settings.RoundTrip)};
 }
 
+void AccountCredit::extendWaits(State &Target, Instant Now) {
+  const auto First =
+      std::ranges::find(Target.Waiting, false, &Waiter::Extended);
+  if (First == Target.Waiting.end() || First->Until + MaxLateness >= Now)
+    return;
+  for (auto Next = First; Next != Target.Waiting.end(); ++Next)
+    *Next = {Next->Id, Now + Settings.creditValidity(), true};
+}
+
 void AccountCredit::advance(State &Target, Instant Now) {
+  extendWaits(Target, Now);
   if (Target.Open) {
     const bool Late =
         Now >= Target.Open->SentAt + Settings.RoundTrip + ResendMargin;
-    if (Now >= Target.Open->SentAt + Settings.creditValidity()) {
+    const Instant End = Target.Open->SentAt + Settings.creditValidity();
+    if (Now >= End) {
       Target.Open.reset();
-      loseOwner(Target, Now);
+      if (Now <= End + MaxLateness)
+        loseOwner(Target, Now);
     } else if (Late && !std::exchange(Target.Open->Repeated, true)) {
       Messages.push_back({Target.Open->Owner, Target.Open->What});
     }
--- a/src/masticgap/coordination/account_limit/account_credit.hpp
+++ b/src/masticgap/coordination/account_limit/account_credit.hpp
@@ -64,6 +64,7 @@
   struct Waiter {
     std::uint64_t Id = 0;
     Instant Until;
+    bool Extended = false; //!< Because this host was late.
   };
   //! Credit request without an answer.
   struct OpenRequest {
@@ -96,6 +97,9 @@
   void serveWaiting(State &Target, Instant Now);
   void refuseWaiting(State &Target, Instant Before, Instant Now);
   void loseOwner(State &Target, Instant Now);
+  //! Lets requests wait once more if this host itself was late. Those that have
+  //! waited twice come first.
+  void extendWaits(State &Target, Instant Now);
   std::variant<AccountAdmitted, OverLimit> withoutCredit(State &Target,
                                                          Instant Now);
   Duration floorInterval(const State &Target) const;
--- a/src/masticgap/coordination/account_limit/account_limit.hpp
+++ b/src/masticgap/coordination/account_limit/account_limit.hpp
@@ -46,8 +46,8 @@
     return GossipPeriod * 5 + GossipPeriod * static_cast<int>(Members) / 22;
   }
 
-  //! Validity of credit, from the sending of its request. At most 200 ms: a
-  //! longer time gains nothing, as credit is requested for 100 ms of demand.
+  //! Validity of credit, from the sending of its request, and the longest wait
+  //! of a request for it. At most 200 ms: five round trips between regions.
   Duration creditValidity() const {
     return std::min<Duration>(std::chrono::milliseconds(200),
                               overageTime(ValidityShare));
@@ -76,8 +76,8 @@
   // Shares of the overage: ValidityShare + ArrivalShare + StoredShare + 1.3 x
   // FloorShare is at most 1. Shares of the slack: up to four owners may follow
   // each other in a window; the rest covers fractions of requests.
-  static constexpr double ValidityShare = 0.3;
-  static constexpr double ArrivalShare = 0.2;
+  static constexpr double ValidityShare = 0.4;
+  static constexpr double ArrivalShare = 0.1;
   static constexpr double StoredShare = 0.2;
   static constexpr double FloorShare = 0.2;
   static constexpr double InitialShare = 0.15;
