Choose owners of accounts among hosts with enough processor time

Any live member could own an account. A host with 0.07 of a core takes 14 ms for 1 ms of work and up to 1.4 s to decode a large configuration, so that credit requests to it were answered too late.

Owners are chosen among the members of the highest class that, with the classes above, has 1/32 of the live members. On 12 hosts with 0.5 of a core and 131 with 0.07, the 12 own all accounts.

Records of class 0 have the same bytes as before (the golden files are unchanged). Releases before this one reject records with a class, so that the setting may be rendered only when all hosts run this release.

Half of the seeds of both tests over random schedules now have owners on three of 24 hosts; the sums hold with unchanged bounds.

--- a/src/gateway/account_exchange.cpp
+++ b/src/gateway/account_exchange.cpp
@@ -223,7 +223,7 @@
   Peers.clear();
   PeerHosts.clear();
   for (const MemberRecord &Member : MemberSource()) {
-    All.push_back({Member.Host.Id, statusOf(Member)});
+    All.push_back({Member.Host.Id, statusOf(Member), Member.SizeClass});
     if (!isLive(Member) || Member.Host.Id == Settings.Host)
       continue;
     error_code Failed;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -162,6 +162,7 @@
   Clock = std::make_unique<HybridClock>(LocalIncarnation, StartedAt);
   transport::GossipNodeSettings Node;
   Node.Membership.Self = descriptor();
+  Node.Membership.SizeClass = sizeClass(Settings.ProcessorShare);
   for (const Endpoint &SeedHost : Settings.Seeds)
     Node.Membership.Seeds.push_back({SeedHost.Address, Settings.GossipPort});
   std::erase(Node.Membership.Seeds,
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t MaxPort = std::numeric_limits<std::uint16_t>::max();
 constexpr std::uint64_t MaxTimeMs = 3600000; //!< One hour.
 constexpr double MaxRetrySlack = 1e6;        //!< Retries.
+constexpr double MaxProcessorShare = 1024;   //!< Cores.
 constexpr double MaxQuotaSlack = 1e6;        //!< Requests.
 
 leaf::error_id invalid(std::string Message, std::string Remedy) {
@@ -85,6 +86,8 @@
       Reader.decimal("quota_overage", 0, 10, Settings.QuotaOverage);
   Settings.QuotaSlack =
       Reader.decimal("quota_slack", 0, MaxQuotaSlack, Settings.QuotaSlack);
+  Settings.ProcessorShare = Reader.decimal(
+      "processor_share", 0, MaxProcessorShare, Settings.ProcessorShare);
   Settings.LogRequests = Reader.flag("log_requests", Settings.LogRequests);
 }
 
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -70,8 +70,9 @@
   //! (rate x window + burst) x (1 + overage) + slack.
   std::chrono::milliseconds QuotaWindow{5000};
   double QuotaOverage = 0.1;
-  double QuotaSlack = 20;  //!< Requests.
-  bool LogRequests = true; //!< Also log answered requests.
+  double QuotaSlack = 20;    //!< Requests.
+  double ProcessorShare = 0; //!< Of a core, for this host; 0: unknown.
+  bool LogRequests = true;   //!< Also log answered requests.
 
   std::uint16_t accountPort() const {
     // The highest port has none after it.
--- a/src/masticgap/coordination/account_limit/account_owners.cpp
+++ b/src/masticgap/coordination/account_limit/account_owners.cpp
@@ -1,5 +1,9 @@
 #include "masticgap/coordination/account_limit/account_owners.hpp"
 
+#include "masticgap/coordination/member_record.hpp"
+
+#include <algorithm>
+#include <array>
 #include <utility>
 #include <xxhash.h>
 
@@ -11,6 +15,9 @@
 //! for up to an hour, and the other part uses its share of the limits
 //! meanwhile.
 constexpr Duration DeadMemory = std::chrono::minutes(75);
+//! Owners are at least this part of the live members, so that the credit
+//! requests of all hosts do not overload a few.
+constexpr std::size_t OwnerShareDivisor = 32;
 
 std::uint64_t hostHash(const HostId &Host) {
   return XXH3_64bits(Host.value().data(), Host.value().size());
@@ -51,7 +58,7 @@
     const bool WasDead = Before != Members.end() &&
                          Before->second.Status == FleetMemberStatus::Dead;
     const Instant DeadSince = WasDead ? Before->second.DeadSince : Now;
-    Updated[Member.Host] = {Member.Status, DeadSince};
+    Updated[Member.Host] = {Member.Status, DeadSince, Member.SizeClass};
     const bool IsLive = Member.Status == FleetMemberStatus::Live ||
                         Member.Status == FleetMemberStatus::Stopping;
     Live += IsLive ? 1 : 0;
@@ -68,11 +75,30 @@
   updateShare(Now);
 }
 
+std::uint8_t AccountOwners::ownerClass() const {
+  std::array<std::size_t, MaxSizeClass + 1> Count{};
+  std::size_t All = 0;
+  for (const auto &[Host, Member] : Members)
+    if (Member.Status == FleetMemberStatus::Live) {
+      ++Count[std::min(Member.SizeClass, MaxSizeClass)];
+      ++All;
+    }
+  std::size_t Above = 0;
+  for (std::uint8_t Class = MaxSizeClass; Class > 0; --Class) {
+    Above += Count[Class];
+    if (Above > 0 && Above * OwnerShareDivisor >= All)
+      return Class;
+  }
+  return 0;
+}
+
 void AccountOwners::assign() {
+  const std::uint8_t MinClass = ownerClass();
   std::vector<std::pair<std::uint64_t, const HostId *>> Candidates;
   Candidates.reserve(Members.size());
   for (const auto &[Host, Member] : Members)
-    if (Member.Status == FleetMemberStatus::Live)
+    if (Member.Status == FleetMemberStatus::Live &&
+        Member.SizeClass >= MinClass)
       Candidates.emplace_back(hostHash(Host), &Host);
   for (auto &[Account, Owner] : Owners) {
     const HostId *Best = nullptr;
--- a/src/masticgap/coordination/account_limit/account_owners.hpp
+++ b/src/masticgap/coordination/account_limit/account_owners.hpp
@@ -22,10 +22,13 @@
 struct FleetMember {
   HostId Host;
   FleetMemberStatus Status = FleetMemberStatus::Live;
+  std::uint8_t SizeClass = 0; //!< See MemberRecord.
 };
 
-//! This host's view of which host owns each account, by rendezvous hashing of
-//! the account over the live members, and of its part of the fleet.
+//! This host's view of which host owns each account, and of its part of the
+//! fleet. The owner is chosen by rendezvous hashing among the live members with
+//! enough processor time: those of the highest size class that, with the
+//! classes above, has 1/32 of the live members.
 class AccountOwners {
 public:
   //! \param Self this host.
@@ -61,11 +64,13 @@
 
 private:
   void assign();
+  std::uint8_t ownerClass() const;
   void updateShare(Instant Now);
 
   struct KnownMember {
     FleetMemberStatus Status = FleetMemberStatus::Live;
     Instant DeadSince;
+    std::uint8_t SizeClass = 0;
   };
 
   AccountLimitSettings Settings;
--- a/src/masticgap/coordination/member_record.hpp
+++ b/src/masticgap/coordination/member_record.hpp
@@ -36,10 +36,27 @@
   bool Draining = false; //!< Accepts no new callers; set by the member itself.
   std::uint64_t ConfigVersion = 0; //!< Configuration version in force.
   std::uint64_t Epoch = 0;         //!< At-most-once epoch.
+  //! Processor of the host, see sizeClass(); set by the member itself.
+  std::uint8_t SizeClass = 0;
 
   friend bool operator==(const MemberRecord &, const MemberRecord &) = default;
 };
 
+//! Largest value of MemberRecord::SizeClass.
+inline constexpr std::uint8_t MaxSizeClass = 7;
+
+//! Returns the class of a host: 0 below an eighth of a core, or if the share is
+//! unknown (0); one more for each doubling.
+inline std::uint8_t sizeClass(double ProcessorShare) {
+  constexpr double Smallest = 0.0625;
+  std::uint8_t Class = 0;
+  while (Class < MaxSizeClass && ProcessorShare >= 2 * Smallest) {
+    ProcessorShare /= 2;
+    ++Class;
+  }
+  return Class;
+}
+
 //! Returns a hash of host id and incarnation.
 std::uint64_t memberKey(const EntryHostDescriptor &Host);
 
--- a/src/masticgap/coordination/membership.cpp
+++ b/src/masticgap/coordination/membership.cpp
@@ -20,9 +20,10 @@
 //! leaves.
 constexpr std::size_t LeaveMessages = 32;
 
-MemberRecord initialRecord(const EntryHostDescriptor &Self) {
+MemberRecord initialRecord(const MembershipSettings &Settings) {
   MemberRecord Record;
-  Record.Host = Self;
+  Record.Host = Settings.Self;
+  Record.SizeClass = Settings.SizeClass;
   return Record;
 }
 
@@ -31,7 +32,7 @@
 Membership::Impl::Impl(MembershipSettings Initial, HybridClock &Stamps,
                        Instant Now)
     : Settings(std::move(Initial)), Clock(Stamps), Random(Settings.RandomSeed),
-      Table(initialRecord(Settings.Self)), Rumors(Settings.Timing.MaxRumors),
+      Table(initialRecord(Settings)), Rumors(Settings.Timing.MaxRumors),
       Spread(Settings.Self.Id, Settings.Timing), NextPeriod(Now),
       NextDeadProbe(Now + Settings.Timing.DeadProbeInterval),
       NextForget(Now + Settings.Timing.DeadProbeInterval), LastViewChange(Now) {
--- a/src/masticgap/coordination/membership_settings.hpp
+++ b/src/masticgap/coordination/membership_settings.hpp
@@ -49,6 +49,7 @@
   std::vector<Endpoint> Seeds; //!< Gossip endpoints used to join.
   std::uint64_t RandomSeed = 1;
   MembershipTiming Timing;
+  std::uint8_t SizeClass = 0; //!< Of this host, see sizeClass().
 };
 
 } // namespace masticgap::coordination
--- a/src/masticgap/protocol/gossip_codec.cpp
+++ b/src/masticgap/protocol/gossip_codec.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <sstream>
 #include <streambuf>
 #include <variant>
@@ -23,6 +24,7 @@
 
 constexpr std::uint8_t StatusMask = 0x0f;
 constexpr std::uint8_t DrainingBit = 0x10;
+constexpr unsigned SizeClassShift = 5;
 
 static void write(GossipWriter &Out, const EntryHostDescriptor &Host) {
   Out.name(Host.Id);
@@ -47,20 +49,22 @@
 static void write(GossipWriter &Out, const MemberRecord &Record) {
   write(Out, Record.Host);
   const auto Status = static_cast<std::uint8_t>(Record.Status);
-  Out.numbers(
-      Record.Revision,
-      static_cast<std::uint8_t>(Status | (Record.Draining ? DrainingBit : 0)),
-      Record.ConfigVersion, Record.Epoch);
+  Out.numbers(Record.Revision,
+              static_cast<std::uint8_t>(
+                  Status | (Record.Draining ? DrainingBit : 0) |
+                  std::min(Record.SizeClass, MaxSizeClass) << SizeClassShift),
+              Record.ConfigVersion, Record.Epoch);
 }
 
 static void read(GossipReader &In, MemberRecord &Record) {
   read(In, Record.Host);
   In.numbers(Record.Revision);
-  const std::uint8_t Bits = In.byte(StatusMask | DrainingBit);
+  const std::uint8_t Bits = In.byte(std::numeric_limits<std::uint8_t>::max());
   if ((Bits & StatusMask) > static_cast<std::uint8_t>(MemberStatus::Left))
     throw cereal::Exception("unknown member status");
   Record.Status = static_cast<MemberStatus>(Bits & StatusMask);
   Record.Draining = (Bits & DrainingBit) != 0;
+  Record.SizeClass = Bits >> SizeClassShift;
   In.numbers(Record.ConfigVersion, Record.Epoch);
 }
 
--- a/src/masticgap/protocol/member_json.cpp
+++ b/src/masticgap/protocol/member_json.cpp
@@ -37,6 +37,8 @@
   Reader.flag("draining", Member.Draining);
   Reader.integer("config_version", Member.ConfigVersion, 0, MaxUnsigned);
   Reader.integer("epoch", Member.Epoch, 0, MaxUnsigned);
+  Reader.integerAs("size_class", Member.SizeClass, 0,
+                   coordination::MaxSizeClass, ObjectReader::Optional);
   std::string Status;
   if (!Reader.name("status", Status))
     return Member;
@@ -62,6 +64,8 @@
     MemberObject["draining"] = Member.Draining;
     MemberObject["config_version"] = Member.ConfigVersion;
     MemberObject["epoch"] = Member.Epoch;
+    if (Member.SizeClass != 0)
+      MemberObject["size_class"] = Member.SizeClass;
     List.push_back(std::move(MemberObject));
   }
   return json::serialize(json::object{{"members", std::move(List)}});
--- a/tests/coordination/account_limit/account_limit.tests.cpp
+++ b/tests/coordination/account_limit/account_limit.tests.cpp
@@ -1,9 +1,11 @@
 #include "coordination/account_limit/account_world.hpp"
 #include "coordination/seeds.hpp"
+#include "masticgap/coordination/member_record.hpp"
 
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <set>
 
 using namespace masticgap;
 using namespace masticgap::coordination;
@@ -113,6 +115,52 @@
     }
 }
 
+// Guards against owners on hosts that answer too late, and against one large
+// host that owns the accounts of a large fleet.
+TEST_CASE("accounts are owned by hosts with enough processor time") {
+  struct Case {
+    std::size_t Hosts;
+    std::vector<double> Shares; //!< Of the first hosts; 0.07 of the others.
+    std::size_t Owners;         //!< The first hosts that own all accounts.
+  };
+  const Case Cases[] = {{143, std::vector<double>(12, 0.5), 12},
+                        {143, std::vector<double>(5, 0.5), 5},
+                        {143, std::vector<double>(4, 0.5), 143},
+                        {143, {4, 2, 1, 0.5, 0.25, 0.125}, 5},
+                        {16, {0.5}, 1},
+                        {3, {}, 3},
+                        {3, {0, 0, 0}, 3}};
+  for (const Case &C : Cases) {
+    CAPTURE(C.Hosts);
+    CAPTURE(C.Owners);
+    std::vector<FleetMember> Members;
+    for (std::size_t I = 0; I < C.Hosts; ++I)
+      Members.push_back({HostId("h" + std::to_string(I)),
+                         FleetMemberStatus::Live,
+                         sizeClass(I < C.Shares.size() ? C.Shares[I] : 0.07)});
+    AccountOwners Owners({}, Members[0].Host, 1);
+    std::vector<AccountLimit> Limits;
+    for (int I = 0; I < 2000; ++I)
+      Limits.push_back(limitOf("a" + std::to_string(I), 1, 1));
+    Owners.setAccounts(Limits);
+    Owners.setMembers(Members, Instant(1h));
+    std::set<HostId> Found;
+    for (const AccountLimit &Limit : Limits)
+      Found.insert(Owners.owner(Limit.Key));
+    CHECK(Found.size() == C.Owners);
+    for (std::size_t I = 0; I < C.Owners; ++I)
+      CHECK(Found.contains(Members[I].Host));
+    if (C.Owners == C.Hosts)
+      continue;
+    // When all large hosts stop, the others own the accounts.
+    for (std::size_t I = 0; I < C.Shares.size(); ++I)
+      Members[I].Status = FleetMemberStatus::Stopping;
+    Owners.setMembers(Members, Instant(1h));
+    CHECK_FALSE(Found.contains(Owners.owner(Limits[0].Key)));
+    CHECK_FALSE(Owners.owner(Limits[0].Key).empty());
+  }
+}
+
 // Each row guards against one fault of the exchange between a host and the
 // owner.
 TEST_CASE("a host gets credit from the owner of an account") {
@@ -330,6 +378,10 @@
                                        {limitOf("e", 20, 10), 10, 0, Count}};
         AccountWorld World(Count, Loads, Seed);
         std::mt19937_64 Random(Seed);
+        // On half of the seeds, a few large hosts own the accounts.
+        if (Seed % 2 == 0)
+          for (std::size_t I = 0; I < Count; I += 8)
+            World.setSizeClass(I, 3);
         World.run(4s);
         for (int Step = 0; Step < 12; ++Step) {
           const std::size_t Host = Random() % Count;
@@ -388,6 +440,9 @@
                                        {limitOf("d", 100, 100), 60, 0, Count}};
         AccountWorld World(Count, Loads, Seed);
         std::mt19937_64 Random(Seed);
+        if (Seed % 2 == 0)
+          for (std::size_t I = 0; I < Count; I += 8)
+            World.setSizeClass(I, 3);
         World.run(10s);
         for (int Step = 0; Step < 6; ++Step) {
           std::vector<std::size_t> Isolated;
--- a/tests/coordination/account_limit/account_world.cpp
+++ b/tests/coordination/account_limit/account_world.cpp
@@ -237,7 +237,7 @@
       return;
     std::vector<FleetMember> Members;
     for (std::size_t I = 0; I < Hosts.size(); ++I)
-      Members.push_back({Hosts[I].Id, Target.View[I]});
+      Members.push_back({Hosts[I].Id, Target.View[I], Hosts[I].SizeClass});
     Target.Limiter->setMembers(Members, Now);
     pump(Viewer);
   });
@@ -336,6 +336,12 @@
     }
 }
 
+void AccountWorld::setSizeClass(std::size_t Index, std::uint8_t Class) {
+  Hosts[Index].SizeClass = Class;
+  for (std::size_t I = 0; I < Hosts.size(); ++I)
+    tell(I);
+}
+
 void AccountWorld::isolate(std::size_t Index, bool Sends, bool Receives) {
   Host &Target = Hosts[Index];
   Target.Sends = Sends;
--- a/tests/coordination/account_limit/account_world.hpp
+++ b/tests/coordination/account_limit/account_world.hpp
@@ -43,6 +43,8 @@
   void pause(std::size_t Host, Duration Time);
   //! Hosts of different parts cannot reach each other.
   void cut(const std::function<unsigned(std::size_t)> &Part);
+  //! To be called before the first run.
+  void setSizeClass(std::size_t Host, std::uint8_t Class);
   //! A host that cannot reach the others, is not reached by them, or both. It
   //! learns of the other members' assumed deaths only one by one.
   void isolate(std::size_t Host, bool Sends, bool Receives);
@@ -64,6 +66,7 @@
     std::unique_ptr<coordination::AccountLimiter> Limiter;
     bool Running = false;
     Instant PausedUntil;
+    std::uint8_t SizeClass = 0;
     unsigned Part = 0;
     bool Sends = true, Receives = true; //!< To and from other hosts.
     unsigned Run = 0;
--- a/tests/protocol/gossip_codec.tests.cpp
+++ b/tests/protocol/gossip_codec.tests.cpp
@@ -115,6 +115,18 @@
   }
 }
 
+// Guards against a size class that changes the status or the draining flag.
+TEST_CASE("the size class of a member round-trips") {
+  for (unsigned Class = 0; Class <= MaxSizeClass; ++Class) {
+    GossipMessage M = message(Ping{11});
+    for (MemberRecord &Record : M.Updates)
+      Record.SizeClass = static_cast<std::uint8_t>(Class);
+    const Bytes Datagram = encode(M);
+    CHECK(Datagram.size() == encodedSize(M));
+    CHECK(decode(Datagram) == M);
+  }
+}
+
 TEST_CASE("a rumor that clears a request round-trips") {
   GossipMessage M = message(Ping{11});
   M.Rumors = {{RequestCleared{{77}, WorkerId("sahod-2"), Incarnation{7}}, 10}};
--- a/tests/protocol/member_json.tests.cpp
+++ b/tests/protocol/member_json.tests.cpp
@@ -27,6 +27,7 @@
   for (const auto Status : {MemberStatus::Alive, MemberStatus::Suspect,
                             MemberStatus::Dead, MemberStatus::Left}) {
     Member.Status = Status;
+    Member.SizeClass = static_cast<std::uint8_t>(Status);
     const Members Written{Member};
     const auto Read = capture<Members>(
         [&] { return protocol::parseMembers(protocol::toJson(Written)); });
