Prefer accounts of which fewer requests were served

Cause: objects of one account share workers, so accounts whose objects are on the workers of a large account are refused more often than the others. Change: AccountShares compares for each account the share of its requests that admission accepted, decaying with 5 s, with the share of their priority. The difference moves the wait limit by at most 0.25 of the objective in both directions. At most 256 accounts have counts of their own. Active where the configuration has accounts. Tests: tables of shifts and of wait limits. 14 cases of coordination-tests that concern admission and accounts, platform-tests and 2 cases of gateway-tests passed.

--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -8,6 +8,7 @@
 #include "gateway/platform_api.hpp"
 #include "gateway/settings.hpp"
 #include "gateway/traffic_account.hpp"
+#include "masticgap/coordination/admission/account_shares.hpp"
 #include "masticgap/coordination/admission/buffer_budget.hpp"
 #include "masticgap/coordination/admission/caller_patience.hpp"
 #include "masticgap/coordination/dispatch/dispatcher.hpp"
@@ -59,6 +60,8 @@
   //! Remaining times that callers state; used while the configuration has
   //! accounts.
   coordination::CallerPatience Patience;
+  //! Shares of the accounts' requests that admission accepted; used likewise.
+  coordination::AccountShares Shares;
   coordination::SplitSchedule Splits;
   transport::WorkerConnectionPool Connections;
   CrashDetector Crashes;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -189,6 +189,7 @@
     State.Patience.record(Name, *Remaining, ReceivedAt);
   Standing.emplace();
   Standing->TimeUsed = State.Patience.timeUsed(Name, Remaining, ReceivedAt);
+  Standing->LimitShift = State.Shares.limitShift(accountName(), ReceivedAt);
 }
 
 unsigned RequestFlow::priority() const {
@@ -280,6 +281,7 @@
   }
   const DispatchDecision Decision =
       State.Dispatch.choose(dispatchRequest(), Now);
+  recordAdmission(Decision, Now);
   if (const auto *Rejected = std::get_if<Rejection>(&Decision)) {
     if (MayHaveRun)
       co_return lostAnswer(AttemptEnd::ConnectionLost);
@@ -287,14 +289,24 @@
         Rejected->Reason == RejectReason::NoWorkers    ? "no_workers"
         : Rejected->Reason == RejectReason::Overloaded ? "overloaded"
                                                        : "no_time";
-    if (Rejected->Reason == RejectReason::Overloaded)
-      countRefusal();
     logRejection(Reason, Rejected->QueueWait, Now);
     co_return unavailable(Reason, Rejected->RetryAfter);
   }
   co_return co_await attempt(std::get<WorkerPick>(Decision));
 }
 
+void RequestFlow::recordAdmission(const DispatchDecision &Decision,
+                                  Instant Now) {
+  const auto *Refusal = std::get_if<Rejection>(&Decision);
+  if (!Standing || (Refusal && Refusal->Reason != RejectReason::Overloaded))
+    return;
+  if (Refusal)
+    countRefusal();
+  // Each request counts once, whatever happens to its attempts.
+  if (Tried.empty())
+    State.Shares.record(accountName(), priority(), !Refusal, Now);
+}
+
 bool RequestFlow::claimRetry(bool ReachedWorker) {
   if (Request.Streamed || Control.isCancelled())
     return false;
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -138,6 +138,9 @@
   boost::asio::awaitable<void> finish(RequestOutcome End);
   //! \returns false when the caller did not receive the answer.
   boost::asio::awaitable<bool> write(const LocalAnswer &Answer);
+  //! Records for its account whether a request was admitted.
+  void recordAdmission(const coordination::DispatchDecision &Decision,
+                       Instant Now);
   //! Counts a request that admission refused.
   void countRefusal();
   void logRejection(std::string_view Reason, Duration Wait, Instant Now);
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -48,8 +48,6 @@
 }
 
 void RequestFlow::countRefusal() {
-  if (!Standing)
-    return;
   const std::string Kind =
       Standing->TimeUsed > Duration(0) ? "retried_" : "first_";
   State.Stats.count(
--- a/src/masticgap/coordination/admission/admission_policy.cpp
+++ b/src/masticgap/coordination/admission/admission_policy.cpp
@@ -19,10 +19,11 @@
 Duration waitLimit(const AdmissionRequest &Request,
                    const AdmissionPolicy &Policy, int Shift) {
   const double Priority = static_cast<double>(Request.Priority) + Shift;
-  return scaled(
-      Request.LatencyObjective,
+  const double Share =
       std::max(Policy.MinWaitLimit,
-               Policy.UrgentMaxWait - Policy.WaitStepPerPriority * Priority));
+               Policy.UrgentMaxWait - Policy.WaitStepPerPriority * Priority);
+  const double AccountShift = Request.Caller ? Request.Caller->LimitShift : 0;
+  return scaled(Request.LatencyObjective, std::max(0.0, Share + AccountShift));
 }
 
 //! Shifts of retried requests that can still be on time and that cannot.
--- a/src/masticgap/coordination/admission/admission_policy.hpp
+++ b/src/masticgap/coordination/admission/admission_policy.hpp
@@ -12,6 +12,9 @@
   //! Part of the objective that earlier attempts of the caller have used; above
   //! 0 for retried requests only.
   Duration TimeUsed{0};
+  //! Added to the wait limit, relative to the latency objective; above 0 for an
+  //! account that was served less often than others (AccountShares).
+  double LimitShift = 0;
 };
 
 //! Request to be admitted, with the estimates for its best worker.
--- a/tests/coordination/admission/admission_policy.tests.cpp
+++ b/tests/coordination/admission/admission_policy.tests.cpp
@@ -78,12 +78,37 @@
     const AdmissionRequest Request{
         C.Priority,          400ms,
         C.TimeLeft,          C.QueueWait,
-        C.QueueWait + 100ms, CallerStanding{C.TimeUsed}};
+        C.QueueWait + 100ms, CallerStanding{C.TimeUsed, 0}};
     CHECK(std::holds_alternative<Admitted>(decideAdmission(Request)) ==
           C.Admitted);
   }
 }
 
+// Guards against an account that is preferred by more or less than its shift.
+TEST_CASE("the wait limit moves with the share of an account") {
+  struct Case {
+    unsigned Priority;
+    double Shift;
+    Duration WaitLimit;
+  };
+  const Case Cases[] = {{0, 0.25, 500ms},
+                        {0, -0.25, 300ms},
+                        {2, 0.1, 240ms},
+                        {9, -0.25, 60ms},
+                        {9, -1, 0ms}};
+  for (const auto &C : Cases) {
+    CAPTURE(C.Priority);
+    CAPTURE(C.Shift);
+    const auto IsAdmitted = [&](Duration Wait) {
+      return std::holds_alternative<Admitted>(
+          decideAdmission({C.Priority, 400ms, 2s, Wait, Wait + 100ms,
+                           CallerStanding{0ms, C.Shift}}));
+    };
+    CHECK(IsAdmitted(C.WaitLimit));
+    CHECK_FALSE(IsAdmitted(C.WaitLimit + 1ms));
+  }
+}
+
 // Guards against a caller that is told to retry while its request would be
 // refused again, or later than it could be served.
 TEST_CASE("a refused request is admitted after its retry time") {
@@ -111,7 +136,7 @@
                              3s,
                              C.QueueWait,
                              C.QueueWait + 200ms,
-                             CallerStanding{C.TimeUsed}};
+                             CallerStanding{C.TimeUsed, 0}};
     const auto Verdict = decideAdmission(Request);
     REQUIRE(std::holds_alternative<Rejected>(Verdict));
     const Duration RetryAfter = std::get<Rejected>(Verdict).RetryAfter;
