Refuse no request body for its rate by default

min_body_rate was 500 bytes a second, so a body that arrived slowly but within every limit of the configuration was refused with 408 also while memory was free. The default is 0 now; a slow body is closed only when memory is short, and CallerLedger chooses the connection.

So that this covers bodies that are streamed to a worker, a connection counts as not served while the worker waits for the next part of its body. Before, such bodies could hold all memory of the callers until their deadline. A connection that is closed then leaves an incomplete body at the worker, and its caller gets no response, so nothing is declared "not run".

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -260,14 +260,20 @@
 
 asio::awaitable<RequestPart> CallerConnection::readBodyPart() {
   PartBuffer.resize(ReadBytes);
+  // Only the caller can cause a wait here, so the connection may be closed when
+  // memory is short.
+  if (Account)
+    Account->setServed(false);
   std::size_t BytesRead = 0;
   while (BytesRead == 0 && !Parser->is_done()) {
     const auto Error = co_await readSome(PartBuffer, BytesRead);
-    if (Error || (!Parser->is_done() && isTooSlow())) {
+    if (Error || Evicted || (!Parser->is_done() && isTooSlow())) {
       Broken = true;
       co_return RequestPart{{}, false, true};
     }
   }
+  if (Account)
+    Account->setServed(true);
   co_return RequestPart{
       {PartBuffer.data(), BytesRead}, Parser->is_done(), false};
 }
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -57,7 +57,7 @@
   boost::beast::http::request_header<> takeHead();
   //! Reserves the memory that a request takes while a worker serves it, and
   //! keeps the connection from being closed for lack of memory until a response
-  //! is written.
+  //! is written, except while readBodyPart() waits for the caller.
   //! \returns false if there is not enough memory.
   bool beginService();
 
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -60,8 +60,9 @@
   std::uint32_t MemoryMb = 112;
   //! Descriptors of the host for this process.
   std::uint32_t FileDescriptors = 2870;
-  //! Minimum rate of a request body in bytes a second; 0: none.
-  std::uint32_t MinBodyRate = 500;
+  //! Minimum rate of a request body in bytes a second; 0: none. A slow body
+  //! without a rate is closed only when memory is short.
+  std::uint32_t MinBodyRate = 0;
   //! Limits for the retries of the fleet, per service.
   coordination::FleetRetryLimits Retries;
   //! UDP, credit for limited accounts; 0: the port after GossipPort.
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -59,6 +59,11 @@
     Settings.GracePeriod = Time;
   }
 
+  //! Sets the memory of the host; callers get a seventh of it.
+  void setMemory(std::uint32_t Megabytes) { Settings.MemoryMb = Megabytes; }
+  //! Returns the text at the metrics port.
+  std::string metrics();
+
   //! Sets the parser of the load that a worker reports.
   void setLoadParser(decltype(gateway::WireFormat::ParseLoad) Parser) {
     ParseLoad = std::move(Parser);
