--- a/src/masticgap/coordination/admission/admission_policy.cpp
+++ b/src/masticgap/coordination/admission/admission_policy.cpp
@@ -14,29 +14,36 @@
   return std::chrono::duration_cast<Duration>(Time * Factor);
 }
 
-//! Returns the longest wait of a request that is moved by priorities.
-//! \param Shift number of priorities; -1 is one more urgent.
-Duration waitLimit(const AdmissionRequest &Request,
-                   const AdmissionPolicy &Policy, int Shift) {
-  const double Priority = static_cast<double>(Request.Priority) + Shift;
-  const double Share =
-      std::max(Policy.MinWaitLimit,
-               Policy.UrgentMaxWait - Policy.WaitStepPerPriority * Priority);
-  const double AccountShift = Request.Caller ? Request.Caller->LimitShift : 0;
-  return scaled(Request.LatencyObjective, std::max(0.0, Share + AccountShift));
-}
-
-//! Shifts of retried requests that can still be on time and that cannot.
-constexpr int OnTimeShift = -1;
-constexpr int LateShift = 1;
+//! What is left of the latency objective of a request.
+enum class ObjectiveState {
+  Whole,  //!< First request of the caller, or nothing is known of it.
+  OnTime, //!< Retried request that can still be on time.
+  Late    //!< Retried request that cannot be on time.
+};
 
-Duration maxWait(const AdmissionRequest &Request,
-                 const AdmissionPolicy &Policy) {
+ObjectiveState objectiveState(const AdmissionRequest &Request) {
   if (!Request.Caller || Request.Caller->TimeUsed <= Duration(0))
-    return waitLimit(Request, Policy, 0);
-  const bool OnTime = Request.Caller->TimeUsed + Request.ExpectedLatency <=
-                      Request.LatencyObjective;
-  return waitLimit(Request, Policy, OnTime ? OnTimeShift : LateShift);
+    return ObjectiveState::Whole;
+  return Request.Caller->TimeUsed + Request.ExpectedLatency <=
+                 Request.LatencyObjective
+             ? ObjectiveState::OnTime
+             : ObjectiveState::Late;
+}
+
+//! Returns the longest wait with which a request is admitted.
+Duration waitLimit(const AdmissionRequest &Request,
+                   const AdmissionPolicy &Policy, ObjectiveState State) {
+  const double Urgent =
+      Policy.UrgentMaxWait - Policy.WaitStepPerPriority * Request.Priority;
+  double Share = std::max(Policy.MinWaitLimit, Urgent);
+  if (State == ObjectiveState::OnTime)
+    Share = std::max(Policy.MinWaitLimit, Urgent + Policy.WaitStepPerPriority);
+  else if (State == ObjectiveState::Late)
+    Share = Urgent - Policy.WaitStepPerPriority * Policy.LatePriorities;
+  if (Request.Caller)
+    Share =
+        std::max(Policy.MinLateWaitLimit, Share + Request.Caller->LimitShift);
+  return scaled(Request.LatencyObjective, Share);
 }
 
 //! Returns the time after which the expected wait is within the limit that the
@@ -45,15 +52,18 @@
                     const AdmissionPolicy &Policy) {
   const Duration Wait = Request.QueueWait;
   if (!Request.Caller)
-    return std::max(MinRetryAfter, Wait - waitLimit(Request, Policy, 0) / 2);
-  const Duration OnTimeRetry =
-      std::max(MinRetryAfter, Wait - waitLimit(Request, Policy, OnTimeShift));
+    return std::max(MinRetryAfter,
+                    Wait -
+                        waitLimit(Request, Policy, ObjectiveState::Whole) / 2);
+  const Duration OnTimeRetry = std::max(
+      MinRetryAfter, Wait - waitLimit(Request, Policy, ObjectiveState::OnTime));
   // The queue drains while the caller waits.
   const Duration AnswerAfter = std::max(Wait, OnTimeRetry) +
                                (Request.ExpectedLatency - Request.QueueWait);
   if (Request.Caller->TimeUsed + AnswerAfter <= Request.LatencyObjective)
     return OnTimeRetry;
-  return std::max(MinRetryAfter, Wait - waitLimit(Request, Policy, LateShift));
+  return std::max(MinRetryAfter,
+                  Wait - waitLimit(Request, Policy, ObjectiveState::Late));
 }
 
 //! Returns whether the request cannot be answered before its deadline.
@@ -67,7 +77,8 @@
 
 AdmissionVerdict decideAdmission(const AdmissionRequest &Request,
                                  const AdmissionPolicy &Policy) {
-  if (Request.QueueWait <= maxWait(Request, Policy) &&
+  if (Request.QueueWait <=
+          waitLimit(Request, Policy, objectiveState(Request)) &&
       !isTooLate(Request, Policy))
     return Admitted{};
   return Rejected{retryAfter(Request, Policy)};
--- a/src/masticgap/coordination/admission/admission_policy.hpp
+++ b/src/masticgap/coordination/admission/admission_policy.hpp
@@ -39,6 +39,13 @@
   double WaitStepPerPriority = 0.25;
   //! Lower bound of the wait limit, for the least urgent requests.
   double MinWaitLimit = 0.4;
+  //! Number of priorities by which a retried request that cannot be on time is
+  //! less urgent than others. With 1, such requests still delayed many that
+  //! could be on time.
+  double LatePriorities = 3;
+  //! Lower bound of the wait limit of such requests, and of all requests with a
+  //! known caller. Idle workers serve them also.
+  double MinLateWaitLimit = 0.15;
   //! Share of the expected execution time that has to be left. Half of all
   //! executions are faster than expected, but hardly any takes less than this
   //! share.
@@ -65,7 +72,8 @@
 //!
 //! The objective counts from the caller's first attempt. A retried request that
 //! can still be answered within it has the wait limit of the next more urgent
-//! priority, any other retried request that of the next less urgent one.
+//! priority, any other retried request that of a priority three steps less
+//! urgent.
 AdmissionVerdict decideAdmission(const AdmissionRequest &Request,
                                  const AdmissionPolicy &Policy = {});
 
