--- a/tests/coordination/admission/admission_policy.tests.cpp
+++ b/tests/coordination/admission/admission_policy.tests.cpp
@@ -50,28 +50,28 @@
 TEST_CASE("a retried request is admitted within the rest of its objective") {
   struct Case {
     const char *Name;
-    unsigned Priority;
     Duration TimeUsed;
     Duration TimeLeft;
     Duration QueueWait;
+    unsigned Priority;
     bool Admitted;
   };
   // The objective is 400 ms and an execution takes 100 ms.
   const Case Cases[] = {
-      {"first request, wait within its limit", 1, 0ms, 2s, 300ms, true},
-      {"first request, wait above its limit", 1, 0ms, 2s, 310ms, false},
-      {"on time, limit of the more urgent priority", 2, 50ms, 2s, 250ms, true},
-      {"on time, wait above that limit", 2, 50ms, 2s, 310ms, false},
-      {"on time, most urgent", 0, 100ms, 2s, 200ms, true},
-      {"not on time, limit of a less urgent priority", 0, 201ms, 2s, 100ms,
+      {"first request, wait within its limit", 0ms, 2s, 300ms, 1, true},
+      {"first request, wait above its limit", 0ms, 2s, 310ms, 1, false},
+      {"on time, limit of the more urgent priority", 50ms, 2s, 250ms, 2, true},
+      {"on time, wait above that limit", 50ms, 2s, 310ms, 2, false},
+      {"on time, most urgent", 100ms, 2s, 200ms, 0, true},
+      {"not on time, limit of a less urgent priority", 201ms, 2s, 100ms, 0,
        true},
-      {"not on time, wait above that limit", 0, 201ms, 2s, 101ms, false},
-      {"objective used up, short wait", 1, 500ms, 2s, 60ms, true},
-      {"objective used up, long wait", 1, 500ms, 2s, 61ms, false},
-      {"objective used up, not before its deadline", 0, 500ms, 150ms, 100ms,
+      {"not on time, wait above that limit", 201ms, 2s, 101ms, 0, false},
+      {"objective used up, short wait", 500ms, 2s, 60ms, 1, true},
+      {"objective used up, long wait", 500ms, 2s, 61ms, 1, false},
+      {"objective used up, not before its deadline", 500ms, 150ms, 100ms, 0,
        false},
-      {"objective used up, least urgent, idle worker", 9, 500ms, 2s, 0ms, true},
-      {"objective used up, least urgent, long wait", 9, 500ms, 2s, 61ms, false},
+      {"objective used up, least urgent, idle worker", 500ms, 2s, 0ms, 9, true},
+      {"objective used up, least urgent, long wait", 500ms, 2s, 61ms, 9, false},
   };
   for (const auto &C : Cases) {
     CAPTURE(C.Name);
