Explain at the metrics port where a request would be sent

An operator could not see why a request is refused or which worker gets it without sending one and reading the log.

GET /explain?host=&path=&method=&account=&object= at the metrics port answers with the route, the account's credit, the quarantine, every worker with its cost and the reason why it is not chosen, and the decision or the refusal with its Retry-After. The steps of RequestFlow that decide without a change of state move to request_rules.cpp and are used by both. The traffic split, the quarantine and the limits of accounts get const functions: a preview of credit runs admit() on a copy of the host's credit, or estimates it from the bucket if this host is the owner.

--- a/src/gateway/account_exchange.cpp
+++ b/src/gateway/account_exchange.cpp
@@ -358,6 +358,19 @@
   perform();
 }
 
+AccountAdmission AccountExchange::preview(const Account &Caller) const {
+  if (!Limiter || Caller.RatePerSecond <= 0)
+    return AccountAdmitted();
+  return Limiter->preview(accountKey(Caller.Name.value()), transport::now());
+}
+
+std::optional<AccountStatus>
+AccountExchange::status(const Account &Subject) const {
+  if (!Limiter)
+    return std::nullopt;
+  return Limiter->status(accountKey(Subject.Name.value()), transport::now());
+}
+
 void AccountExchange::recordRefusal(AccountKey Key, const OverLimit &Refusal) {
   const auto Found = Names.find(Key);
   if (Found == Names.end())
--- a/src/gateway/account_exchange.hpp
+++ b/src/gateway/account_exchange.hpp
@@ -67,6 +67,11 @@
   //! Returns the credit of a request that reached no worker.
   void giveBack(const Account &Caller,
                 const coordination::AccountAdmitted &Unused);
+  //! Returns what admit() would decide first, without a change of the state.
+  coordination::AccountAdmission preview(const Account &Caller) const;
+  //! Returns what this host knows of an account; nothing if it has no limit.
+  std::optional<coordination::AccountStatus>
+  status(const Account &Subject) const;
   //! Returns the time within which an admitted request has to reach a worker.
   Duration arrivalDelay() const { return Limits.arrivalDelay(); }
   //! Returns whether the socket is open.
--- a/src/gateway/crash_detector.hpp
+++ b/src/gateway/crash_detector.hpp
@@ -68,6 +68,12 @@
   //! Returns whether a quarantined request is to be sent as a trial; see
   //! CrashQuarantine::takeTrial().
   bool takeTrial(coordination::Fingerprint RequestFingerprint, Instant Now);
+  //! Returns whether takeTrial() would permit to send the request.
+  bool isTrialDue(coordination::Fingerprint RequestFingerprint,
+                  Instant Now) const {
+    return Dispatch.isTrialHostOf(RequestFingerprint) &&
+           Quarantine.isTrialDue(RequestFingerprint, Now);
+  }
   //! Returns the time until the next trial of a quarantined request.
   Duration untilTrial(coordination::Fingerprint RequestFingerprint,
                       Instant Now) const {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_daemon.hpp"
 
+#include "gateway/explain_view.hpp"
 #include "masticgap/coordination/fleet/lookup_hosts.hpp"
 #include "masticgap/coordination/replica/feed_source.hpp"
 #include "masticgap/state/captured.hpp"
@@ -411,6 +412,10 @@
 
 transport::HttpResponse
 GatewayDaemon::answerMetrics(const transport::HttpRequest &Request) const {
+  const std::string_view Path =
+      transport::targetPath({Request.target().data(), Request.target().size()});
+  if (Path == ExplainPath)
+    return answerExplain(State, Request);
   std::vector<std::pair<std::string, double>> Gauges{
       {"config_version", static_cast<double>(State.configVersion())},
       {"requests_in_flight", *State.InFlight},
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -67,6 +67,7 @@
   transport::HttpResponse answerLookup(const transport::HttpRequest &Request);
   transport::HttpResponse
   answerReadiness(const transport::HttpRequest &Request) const;
+  //! Answers the calls at the metrics port.
   transport::HttpResponse
   answerMetrics(const transport::HttpRequest &Request) const;
   bool isReady() const;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,6 +1,5 @@
 #include "gateway/request_flow.hpp"
 
-#include "masticgap/coordination/admission/stop_policy.hpp"
 #include "masticgap/transport/http_types.hpp"
 #include "masticgap/transport/request_fingerprint.hpp"
 
@@ -24,23 +23,9 @@
 //! Limit of attempts that reach no worker. Each takes at most one connect
 //! timeout, so with the default setting they take 1.2 s together at most.
 constexpr unsigned MaxConnectAttempts = 4;
-//! Retry-After of a gateway without a configuration. It usually gets one from
-//! the store or a peer within this time.
-constexpr Duration NoConfigRetry = std::chrono::milliseconds(500);
 //! Random factors for Retry-After, so that callers do not retry simultaneously.
 constexpr double MinRetryFactor = 0.75;
 constexpr double MaxRetryFactor = 1.5;
-//! Minimum time that a worker needs. A request with less time left before its
-//! deadline is not sent.
-constexpr Duration MinWorkTime = std::chrono::milliseconds(10);
-
-//! Maximum time of a request on a route without a timeout whose caller states
-//! no deadline. It bounds how long a silent worker holds the connections.
-constexpr std::chrono::milliseconds MaxRequestTime = std::chrono::hours(1);
-//! Retry-After of a request that cannot be served before the operator changes
-//! the configuration.
-constexpr Duration ConfigErrorRetry = std::chrono::seconds(1);
-
 std::string_view view(boost::beast::string_view Text) {
   return {Text.data(), Text.size()};
 }
@@ -96,10 +81,7 @@
     co_return;
   }
   readDeadline();
-  if (State.StopAt &&
-      !maySendDuringStop({MatchedRoute->LatencyObjective,
-                          State.Dispatch.typicalLatency(Service), Deadline},
-                         *State.StopAt, ReceivedAt)) {
+  if (isRefusedByStop(State, *MatchedRoute, Service, Deadline, ReceivedAt)) {
     logRejection("stopping", {}, ReceivedAt);
     co_await finish(unavailable("stopping", Duration(0)));
     co_return;
@@ -114,8 +96,7 @@
   // Without the caller's address: a request that crashes workers is sent again
   // from any address.
   RequestFingerprint = transport::requestFingerprint(
-      Request.Head, Request.Body, Request.Streamed,
-      MatchedRoute->HostName);
+      Request.Head, Request.Body, Request.Streamed, MatchedRoute->HostName);
   State.Dispatch.recordArrival(Service, ReceivedAt);
   std::optional<entry::CallerWatch> Watch;
   if (!Request.Streamed)
@@ -133,38 +114,27 @@
 
 std::optional<LocalAnswer> RequestFlow::findRoute() {
   Config = State.Config;
-  if (!Config)
-    return LocalAnswer{http::status::service_unavailable, "no_config",
-                       NoConfigRetry};
-  const auto Path = transport::targetPath(view(Request.Head.target()));
-  MatchedRoute = masticgap::findRoute(
-      *Config, view(Request.Head[http::field::host]), Path);
-  if (!MatchedRoute)
-    return LocalAnswer{http::status::not_found, "no_route", Duration(0)};
-  if (!MatchedRoute->Readable)
-    return unavailable("route_unreadable", ConfigErrorRetry);
+  const RouteMatch Match =
+      matchRoute(Config.get(), view(Request.Head[http::field::host]),
+                 view(Request.Head.target()));
+  MatchedRoute = Match.Found;
+  if (Match.Refusal)
+    return Match.Refusal;
   Service = State.Splits.next(*MatchedRoute);
   const std::string_view Cookie =
       cookie(view(Request.Head[http::field::cookie]), State.Wire.ObjectCookie);
-  Object = MatchedRoute->SessionAffinity && !Cookie.empty()
-               ? objectHash(Service, Cookie)
-               : State.Random();
+  Object = objectOf(*MatchedRoute, Service, Cookie, State.Random);
   return std::nullopt;
 }
 
 std::optional<LocalAnswer> RequestFlow::identifyAccount() {
-  if (Config->Accounts && !MatchedRoute->Public) {
+  if (needsAccount(*Config, *MatchedRoute)) {
     CallerAccount = Config->Accounts->findByKey(bearerKey(Request.Head));
     if (!CallerAccount)
-      return LocalAnswer{http::status::unauthorized, "unauthorized",
-                         Duration(0)};
+      return unauthorized();
   }
-  Regions.emplace(MatchedRoute->HomeRegions,
-                  CallerAccount ? std::span(CallerAccount->HomeRegions)
-                                : std::span<const RegionName>());
-  if (Regions->servesNowhere())
-    return unavailable("no_home_region", ConfigErrorRetry);
-  return std::nullopt;
+  Regions.emplace(regionLimit(*MatchedRoute, CallerAccount));
+  return checkRegions(*Regions);
 }
 
 void RequestFlow::readDeadline() {
@@ -180,15 +150,11 @@
 }
 
 DispatchRequest RequestFlow::dispatchRequest() const {
-  DispatchRequest Result;
+  DispatchRequest Result =
+      makeDispatchRequest(*MatchedRoute, CallerAccount, *Regions);
   Result.Service = Service;
   Result.Object = Object;
-  Result.Priority = CallerAccount && CallerAccount->Priority
-                        ? *CallerAccount->Priority
-                        : MatchedRoute->Priority;
-  Result.LatencyObjective = MatchedRoute->LatencyObjective;
   Result.Deadline = Deadline;
-  Result.HomeRegions = Regions->regions();
   Result.Tried = Tried;
   return Result;
 }
@@ -267,10 +233,7 @@
   if (const auto *Rejected = std::get_if<Rejection>(&Decision)) {
     if (MayHaveRun)
       co_return lostAnswer(AttemptEnd::ConnectionLost);
-    const char *Reason =
-        Rejected->Reason == RejectReason::NoWorkers    ? "no_workers"
-        : Rejected->Reason == RejectReason::Overloaded ? "overloaded"
-                                                       : "no_time";
+    const char *Reason = reasonText(Rejected->Reason);
     logRejection(Reason, Rejected->QueueWait, Now);
     co_return unavailable(Reason, Rejected->RetryAfter);
   }
@@ -292,11 +255,6 @@
   return Allowed;
 }
 
-LocalAnswer RequestFlow::unavailable(std::string Reason,
-                                     Duration RetryAfter) const {
-  return {http::status::service_unavailable, std::move(Reason), RetryAfter};
-}
-
 LocalAnswer RequestFlow::lostAnswer(AttemptEnd End) const {
   const bool TimedOut = End == AttemptEnd::TimedOut;
   return {TimedOut ? http::status::gateway_timeout : http::status::bad_gateway,
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -2,6 +2,7 @@
 
 #include "entry/caller_connection.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/request_rules.hpp"
 #include "masticgap/coordination/attempt_result.hpp"
 #include "masticgap/transport/attempt_control.hpp"
 #include "masticgap/transport/worker_exchange.hpp"
@@ -25,13 +26,6 @@
   bool Streamed = false; //!< The rest of the body is still on the connection.
 };
 
-//! Answer that the gateway creates itself.
-struct LocalAnswer {
-  boost::beast::http::status Status;
-  std::string Reason;     //!< For the log and the body.
-  Duration RetryAfter{0}; //!< Sent when above 0.
-};
-
 //! Serves one request from its arrival to its answer.
 class RequestFlow {
 public:
@@ -124,8 +118,6 @@
   bool claimRetry(bool ReachedWorker);
   //! Returns the answer for a request that a worker may have executed.
   LocalAnswer lostAnswer(coordination::AttemptEnd End) const;
-  //! Returns the answer for a request that was not executed.
-  LocalAnswer unavailable(std::string Reason, Duration RetryAfter) const;
   //! Returns whether an answer with this head may be forwarded.
   bool isUsable(const boost::beast::http::response_header<> &Head) const;
   transport::OutgoingRequest
--- a/src/masticgap/coordination/account_limit/account_credit.cpp
+++ b/src/masticgap/coordination/account_limit/account_credit.cpp
@@ -359,4 +359,19 @@
   return Found == States.end() ? nullptr : &Found->second.Totals;
 }
 
+std::optional<AccountStatus> AccountCredit::status(AccountKey Account,
+                                                   Instant Now) const {
+  const auto Found = States.find(Account);
+  if (Found == States.end())
+    return std::nullopt;
+  const State &Target = Found->second;
+  AccountStatus Result;
+  Result.Totals = Target.Totals;
+  for (const Lot &Held : Target.Lots)
+    Result.Held += Held.Expires > Now ? Held.Count : 0;
+  Result.Waiting = Target.Waiting.size();
+  Result.OwnerAnswers = !Target.NoOwner;
+  return Result;
+}
+
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/account_limit/account_credit.hpp
+++ b/src/masticgap/coordination/account_limit/account_credit.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticgap/coordination/account_limit/account_owners.hpp"
+#include "masticgap/coordination/account_limit/account_status.hpp"
 
 #include <deque>
 #include <optional>
@@ -55,6 +56,9 @@
   takeDecision(std::uint64_t Waiter);
   //! Returns the totals of an account; null if it has no limit.
   const AccountCounters *counters(AccountKey Account) const;
+  //! Returns the credit of an account without its owner and bucket; nothing if
+  //! it has no limit.
+  std::optional<AccountStatus> status(AccountKey Account, Instant Now) const;
 
 private:
   struct Lot {
--- a/src/masticgap/coordination/account_limit/account_limiter.cpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.cpp
@@ -1,5 +1,6 @@
 #include "masticgap/coordination/account_limit/account_limiter.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace masticgap::coordination {
@@ -59,6 +60,39 @@
   return Result;
 }
 
+std::optional<AccountStatus> AccountLimiter::status(AccountKey Account,
+                                                    Instant Now) const {
+  auto Result = Credit.status(Account, Now);
+  if (!Result)
+    return std::nullopt;
+  Result->Owner = Owners.owner(Account);
+  // share() brings the owners up to date, so it is called on a copy.
+  if (Owners.isOwnedHere(Account))
+    Result->Bucket =
+        Owned.bucket(Account, AccountOwners(Owners).share(Now), Now);
+  return Result;
+}
+
+AccountAdmission AccountLimiter::preview(AccountKey Account,
+                                         Instant Now) const {
+  AccountCredit Copy = Credit;
+  const AccountAdmission Result = Copy.admit(Account, Now);
+  if (!std::holds_alternative<AwaitCredit>(Result))
+    return Result;
+  const auto Known = status(Account, Now);
+  if (!Known || !Known->Bucket)
+    return Result;
+  if (Known->Bucket->Tokens >= 1)
+    return AccountAdmitted{Now + Settings.creditValidity(), true, false};
+  const auto Limit = std::ranges::find(Limits, Account, &AccountLimit::Key);
+  const std::chrono::duration<double> Wait(Limit == Limits.end()
+                                               ? 0
+                                               : (1 - Known->Bucket->Tokens) /
+                                                     Limit->RatePerSecond);
+  return OverLimit{Known->Bucket->StartsIn +
+                   std::chrono::duration_cast<Duration>(Wait)};
+}
+
 void AccountLimiter::handle(const HostId &From, const AccountMessage &Message,
                             Instant Now) {
   checkPause(Now);
--- a/src/masticgap/coordination/account_limit/account_limiter.hpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.hpp
@@ -55,6 +55,11 @@
   const AccountCounters *counters(AccountKey Account) const {
     return Credit.counters(Account);
   }
+  //! Returns what this host knows of an account; nothing if it has no limit.
+  std::optional<AccountStatus> status(AccountKey Account, Instant Now) const;
+  //! Returns what admit() would decide, without a change of the state. If this
+  //! host is the owner, the decision is estimated from its bucket.
+  AccountAdmission preview(AccountKey Account, Instant Now) const;
   std::span<const AccountLimit> limits() const { return Limits; }
   const AccountLimitSettings &settings() const { return Settings; }
 
--- a/src/masticgap/coordination/account_limit/account_owner.cpp
+++ b/src/masticgap/coordination/account_limit/account_owner.cpp
@@ -157,6 +157,19 @@
   return Grant;
 }
 
+std::optional<AccountBucket>
+AccountOwner::bucket(AccountKey Account, double Share, Instant Now) const {
+  const auto Found = Buckets.find(Account);
+  if (Found == Buckets.end() || !Owners.isOwnedHere(Account))
+    return std::nullopt;
+  const Bucket &Target = Found->second;
+  const Instant Serves = servesFrom(Target);
+  const Duration Filling = Now - std::max(Target.FilledAt, Serves);
+  return AccountBucket{Target.Tokens + Target.Limit.RatePerSecond * Share *
+                                           std::max(0.0, seconds(Filling)),
+                       std::max(Duration(0), Serves - Now)};
+}
+
 void AccountOwner::forgetAnswers(Instant Now) {
   while (!AnswerOrder.empty() &&
          (AnswerOrder.front().first + AnswerMemory <= Now ||
--- a/src/masticgap/coordination/account_limit/account_owner.hpp
+++ b/src/masticgap/coordination/account_limit/account_owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticgap/coordination/account_limit/account_owners.hpp"
+#include "masticgap/coordination/account_limit/account_status.hpp"
 
 #include <deque>
 #include <map>
@@ -33,6 +34,11 @@
   CreditGrant handle(const HostId &From, const CreditRequest &Request,
                      Instant Now);
 
+  //! Returns the bucket of an account that this host owns.
+  //! \param Share AccountOwners::share().
+  std::optional<AccountBucket> bucket(AccountKey Account, double Share,
+                                      Instant Now) const;
+
 private:
   struct Bucket {
     AccountLimit Limit;
--- a/src/masticgap/coordination/crash_quarantine.cpp
+++ b/src/masticgap/coordination/crash_quarantine.cpp
@@ -229,17 +229,20 @@
 }
 
 bool CrashQuarantine::takeTrial(Fingerprint Request, Instant Now) {
-  const auto RecordIt = Records.find(Request);
-  if (RecordIt == Records.end() || !isQuarantined(Request, Now))
-    return false;
-  Record &R = RecordIt->second;
-  if (!R.NextTrial || Now < *R.NextTrial)
+  if (!isTrialDue(Request, Now))
     return false;
+  Record &R = Records.at(Request);
   R.TrialInterval *= Policy.TrialFactor;
   R.NextTrial = Now + R.TrialInterval;
   return true;
 }
 
+bool CrashQuarantine::isTrialDue(Fingerprint Request, Instant Now) const {
+  const Record *R = find(Request, Now);
+  return R && isQuarantined(Request, Now) && R->NextTrial &&
+         Now >= *R->NextTrial;
+}
+
 Duration CrashQuarantine::untilTrial(Fingerprint Request, Instant Now) const {
   const Record *R = find(Request, Now);
   return R && R->NextTrial ? std::max(Duration(0), *R->NextTrial - Now)
--- a/src/masticgap/coordination/crash_quarantine.hpp
+++ b/src/masticgap/coordination/crash_quarantine.hpp
@@ -139,6 +139,8 @@
   //! worker is spread as for other requests.
   //! \returns whether the request may be sent once.
   bool takeTrial(Fingerprint Request, Instant Now);
+  //! Returns whether takeTrial() would permit to send the request.
+  bool isTrialDue(Fingerprint Request, Instant Now) const;
   //! Returns the time until the next trial; zero if none is scheduled.
   Duration untilTrial(Fingerprint Request, Instant Now) const;
 
--- a/src/masticgap/coordination/traffic_split/split_schedule.cpp
+++ b/src/masticgap/coordination/traffic_split/split_schedule.cpp
@@ -9,7 +9,20 @@
 const ServiceName &SplitSchedule::next(const Route &MatchedRoute) {
   if (MatchedRoute.Parts.size() == 1)
     return MatchedRoute.Parts.front().Service;
-  Rotation &State = Rotations[MatchedRoute.Name];
+  return MatchedRoute.Parts[advance(Rotations[MatchedRoute.Name], MatchedRoute)]
+      .Service;
+}
+
+const ServiceName &SplitSchedule::peek(const Route &MatchedRoute) const {
+  if (MatchedRoute.Parts.size() == 1)
+    return MatchedRoute.Parts.front().Service;
+  const auto Known = Rotations.find(MatchedRoute.Name);
+  Rotation Copy = Known == Rotations.end() ? Rotation() : Known->second;
+  return MatchedRoute.Parts[advance(Copy, MatchedRoute)].Service;
+}
+
+std::size_t SplitSchedule::advance(Rotation &State,
+                                   const Route &MatchedRoute) const {
   double Total = 0;
   for (const SplitPart &Part : MatchedRoute.Parts)
     Total += Part.Weight;
@@ -36,7 +49,7 @@
     }
   }
   State.Credit[Best] -= Total;
-  return MatchedRoute.Parts[Best].Service;
+  return Best;
 }
 
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/traffic_split/split_schedule.hpp
+++ b/src/masticgap/coordination/traffic_split/split_schedule.hpp
@@ -3,6 +3,7 @@
 #include "masticgap/state/names.hpp"
 #include "masticgap/state/traffic_config.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -22,6 +23,8 @@
 
   //! Returns the service for the next request of a route.
   const ServiceName &next(const Route &MatchedRoute);
+  //! Returns what next() would return, without a change of the rotation.
+  const ServiceName &peek(const Route &MatchedRoute) const;
 
 private:
   struct Rotation {
@@ -29,6 +32,10 @@
     std::vector<double> Credit;
   };
 
+  //! Advances a rotation by one request.
+  //! \returns the position of its part.
+  std::size_t advance(Rotation &State, const Route &MatchedRoute) const;
+
   std::uint64_t Seed;
   std::map<std::string, Rotation> Rotations; //!< By route name.
 };
