--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -11,7 +11,8 @@
 
 std::vector<Command> allCommands() {
   std::vector<Command> Commands;
-  for (const auto Group : {configCommands(), fleetCommands()})
+  for (const auto Group :
+       {configCommands(), fleetCommands(), gatewayCommands()})
     Commands.insert(Commands.end(), Group.begin(), Group.end());
   return Commands;
 }
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -29,4 +29,7 @@
 //! Returns the commands for entry hosts and workers.
 std::span<const Command> fleetCommands();
 
+//! Returns the commands that show what one gateway decides.
+std::span<const Command> gatewayCommands();
+
 } // namespace masticgap::ctl
--- a/src/ctl/ctl_options.hpp
+++ b/src/ctl/ctl_options.hpp
@@ -20,6 +20,13 @@
   std::optional<Endpoint> Platform;
   //! Admin ports of entry hosts; if empty, those of the platform's host list.
   std::vector<Endpoint> AdminEndpoints;
+  //! Metrics port of a gateway, for explain and accounts.
+  std::optional<Endpoint> Gateway;
+  std::string HostName; //!< Host of the request to explain.
+  std::string Path;
+  std::string Method;
+  std::string Account;
+  std::string Object;
   std::string Operator;
   std::string Reason;
   std::string Expires; //!< Value of --expires; empty: never.
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -12,6 +12,12 @@
 DEFINE_string(entry, "",
               "admin ports of entry hosts, ip:port[,ip:port...]; by default "
               "those of the platform's host list");
+DEFINE_string(gateway, "", "metrics port of a gateway, ip:port");
+DEFINE_string(host_name, "", "host name of the request to explain");
+DEFINE_string(path, "", "path of the request to explain");
+DEFINE_string(method, "", "method of the request to explain; by default GET");
+DEFINE_string(account, "", "account of the request to explain");
+DEFINE_string(object, "", "object of the request to explain");
 DEFINE_string(operator, "", "who makes the change");
 DEFINE_string(reason, "", "why the change is made");
 DEFINE_string(expires, "",
@@ -41,6 +47,15 @@
   }
   BOOST_LEAF_ASSIGN(Options.AdminEndpoints,
                     ctl::parseEndpoints("--entry", FLAGS_entry));
+  if (!FLAGS_gateway.empty()) {
+    BOOST_LEAF_ASSIGN(Options.Gateway,
+                      ctl::parseEndpoint("--gateway", FLAGS_gateway));
+  }
+  Options.HostName = FLAGS_host_name;
+  Options.Path = FLAGS_path;
+  Options.Method = FLAGS_method;
+  Options.Account = FLAGS_account;
+  Options.Object = FLAGS_object;
   Options.Operator = FLAGS_operator;
   Options.Reason = FLAGS_reason;
   Options.Expires = FLAGS_expires;
