Show accounts at the metrics port and in masticgap-ctl

When an account said that it was refused, its counts had to be collected from several metrics, and nothing stated its owner, the credit that a host holds or the bucket.

GET /accounts[?name=] at the metrics port states for each account of the configuration its limit, the requests asked, served, limited, refused and failed, the reasons of the gateway's own answers, its credit, its owner as this host sees it and the bucket if this host is the owner. "masticgap-ctl accounts [NAME]" prints it as a table. Metrics counts the reasons; keys are not kept by the process and never appear.

--- a/src/ctl/gateway_commands.cpp
+++ b/src/ctl/gateway_commands.cpp
@@ -54,8 +54,9 @@
     return boost::leaf::new_error(
         Error{ErrorKind::Unavailable,
               Name + " answered " + std::to_string(Answer.result_int()) +
-                  " to " + Target.substr(0, Target.find('?')),
-              "check that --gateway is the metrics port of a gateway"});
+                  " to " + Target,
+              "check the arguments, and that --gateway is the metrics port of "
+              "a gateway"});
   } catch (const boost::system::system_error &E) {
     return boost::leaf::new_error(
         Error{ErrorKind::Unavailable,
@@ -96,7 +97,18 @@
   return print(Session, Body);
 }
 
+Result accounts(const CtlSession &Session, ArgumentList Arguments) {
+  BOOST_LEAF_AUTO(
+      Body, get(Session, Arguments.empty()
+                             ? std::string("/accounts")
+                             : "/accounts?name=" + encoded(Arguments[0])));
+  return print(Session, Body);
+}
+
 constexpr std::array Commands = {
+    Command{"accounts", "[NAME]",
+            "shows the accounts as the gateway of --gateway sees them", 0, 1,
+            accounts},
     Command{"explain", "",
             "shows where the gateway of --gateway would send a request with "
             "--host_name, --path, --method, --account and --object, and why",
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_daemon.hpp"
 
+#include "gateway/account_view.hpp"
 #include "gateway/explain_view.hpp"
 #include "masticgap/coordination/fleet/lookup_hosts.hpp"
 #include "masticgap/coordination/replica/feed_source.hpp"
@@ -414,6 +415,8 @@
 GatewayDaemon::answerMetrics(const transport::HttpRequest &Request) const {
   const std::string_view Path =
       transport::targetPath({Request.target().data(), Request.target().size()});
+  if (Path == AccountsPath)
+    return answerAccounts(State, Request);
   if (Path == ExplainPath)
     return answerExplain(State, Request);
   std::vector<std::pair<std::string, double>> Gauges{
--- a/src/gateway/metrics.cpp
+++ b/src/gateway/metrics.cpp
@@ -60,13 +60,23 @@
   Counters[std::move(Key)] += Number;
 }
 
-void Metrics::countAccount(std::string_view Account, AccountOutcome Outcome) {
+void Metrics::countAccount(std::string_view Account, AccountOutcome Outcome,
+                           std::string_view Reason) {
   auto Entry = Accounts.find(Account);
   if (Entry == Accounts.end()) {
     const bool Full = Accounts.size() >= MaxAccounts;
     Entry = Accounts.try_emplace(std::string(Full ? "other" : Account)).first;
   }
-  ++Entry->second.at(static_cast<std::size_t>(Outcome));
+  AccountTotals &Totals = Entry->second;
+  ++Totals.Outcomes.at(static_cast<std::size_t>(Outcome));
+  // Reasons are fixed words, so that there are few.
+  if (!Reason.empty())
+    ++Totals.Reasons.try_emplace(std::string(Reason)).first->second;
+}
+
+const Metrics::AccountTotals *Metrics::account(std::string_view Account) const {
+  const auto Entry = Accounts.find(Account);
+  return Entry == Accounts.end() ? nullptr : &Entry->second;
 }
 
 void Metrics::observe(Stage Where, std::string_view Route, Duration Latency) {
@@ -86,12 +96,12 @@
   for (const auto &[Key, Number] : Counters)
     Text << "masticgap_" << Key.first << "_total{kind=\"" << Key.second
          << "\"} " << Number << '\n';
-  for (const auto &[Account, Counts] : Accounts)
-    for (std::size_t I = 0; I < Counts.size(); ++I)
-      if (Counts.at(I) > 0)
+  for (const auto &[Account, Totals] : Accounts)
+    for (std::size_t I = 0; I < AccountOutcomes; ++I)
+      if (Totals.Outcomes.at(I) > 0)
         Text << "masticgap_account_requests_total{account=\""
              << escaped(Account) << "\",outcome=\"" << AccountOutcomeNames[I]
-             << "\"} " << Counts.at(I) << '\n';
+             << "\"} " << Totals.Outcomes.at(I) << '\n';
   for (const auto &[Name, Value] : Gauges)
     Text << "masticgap_" << Name << ' ' << Value << '\n';
   for (const auto &[Key, Latency] : Latencies) {
--- a/src/gateway/metrics.hpp
+++ b/src/gateway/metrics.hpp
@@ -34,6 +34,19 @@
 //! configurations remain, so the number of series is limited.
 class Metrics {
 public:
+  static constexpr std::size_t AccountOutcomes = 5;
+  //! Requests of one account at this host.
+  struct AccountTotals {
+    //! Requests by AccountOutcome.
+    std::array<std::uint64_t, AccountOutcomes> Outcomes{};
+    //! Requests that the gateway answered itself, by reason.
+    std::map<std::string, std::uint64_t, std::less<>> Reasons;
+
+    std::uint64_t of(AccountOutcome Outcome) const {
+      return Outcomes.at(static_cast<std::size_t>(Outcome));
+    }
+  };
+
   Metrics();
   ~Metrics();
 
@@ -44,7 +57,11 @@
   //! Counts a request of an account. The series of at most 256 accounts are
   //! kept; requests of others are counted as "other".
   //! \param Account empty if it is unknown.
-  void countAccount(std::string_view Account, AccountOutcome Outcome);
+  //! \param Reason why the gateway answered itself; empty if it did not.
+  void countAccount(std::string_view Account, AccountOutcome Outcome,
+                    std::string_view Reason = {});
+  //! Returns the totals of an account; null if it has none of its own.
+  const AccountTotals *account(std::string_view Account) const;
   //! Adds a latency to the histogram of a stage and route.
   void observe(Stage Where, std::string_view Route, Duration Latency);
 
@@ -55,11 +72,9 @@
 
 private:
   struct Series;
-  static constexpr std::size_t AccountOutcomes = 5;
-  using AccountCounts = std::array<std::uint64_t, AccountOutcomes>;
   std::map<std::pair<std::string, std::string>, std::uint64_t> Counters;
   std::map<std::pair<Stage, std::string>, Series> Latencies;
-  std::map<std::string, AccountCounts, std::less<>> Accounts;
+  std::map<std::string, AccountTotals, std::less<>> Accounts;
 };
 
 } // namespace masticgap::gateway
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -32,12 +32,15 @@
 
 void RequestFlow::countForAccount(const RequestOutcome &End) {
   AccountOutcome Outcome = AccountOutcome::Failed;
-  if (const auto *Local = std::get_if<LocalAnswer>(&End))
+  std::string_view Reason;
+  if (const auto *Local = std::get_if<LocalAnswer>(&End)) {
     Outcome = accountOutcome(Local->Status);
-  else if (std::holds_alternative<Delivered>(End))
+    Reason = Local->Reason;
+  }
+  if (std::holds_alternative<Delivered>(End))
     Outcome = AccountOutcome::Served;
   if (CallerAccount)
-    State.Stats.countAccount(CallerAccount->Name.value(), Outcome);
+    State.Stats.countAccount(CallerAccount->Name.value(), Outcome, Reason);
   else if (Outcome == AccountOutcome::Unauthorized)
     State.Stats.countAccount({}, Outcome);
 }
--- a/tests/ctl/gateway_commands.tests.cpp
+++ b/tests/ctl/gateway_commands.tests.cpp
@@ -89,13 +89,28 @@
   CHECK(run(Options, {"explain"}).Out == Gateway.Body + "\n");
 }
 
+TEST_CASE("accounts prints a table of accounts") {
+  FakeGateway Gateway;
+  Gateway.Body = R"({"host":"h1","accounts":[{"name":"acme","asked":3,)"
+                 R"("reasons":{"overloaded":1}},{"name":"b"}]})";
+  const Printed Text = run(options(Gateway), {"accounts"});
+  CHECK(Text.Code == ctl::ExitCode::Done);
+  CHECK(Gateway.Seen == "/accounts");
+  CHECK(Text.Out == "host: h1\naccounts\n"
+                    "name  asked  reasons\n"
+                    "acme  3      {\"overloaded\":1}\n"
+                    "b     -      -\n");
+  run(options(Gateway), {"accounts", "a&b"});
+  CHECK(Gateway.Seen == "/accounts?name=a%26b");
+}
+
 // Guards against a gateway that is down and looks like one without accounts.
 TEST_CASE("a gateway that does not answer is reported") {
   FakeGateway Gateway;
   ctl::CtlOptions Options = options(Gateway);
   Options.HostName = "a.example";
   Options.Path = "/x";
-  for (const char *Command : {"explain"}) {
+  for (const char *Command : {"explain", "accounts"}) {
     CAPTURE(Command);
     Gateway.Status = http::status::not_found;
     Gateway.Body = "{}";
--- a/tests/gateway/operator_views.tests.cpp
+++ b/tests/gateway/operator_views.tests.cpp
@@ -143,3 +143,39 @@
     CHECK(Worker.seen().size() == Before + 1);
   }
 }
+
+// Guards against counts that disagree with the answers, and, with the checks in
+// get(), against keys in the output.
+TEST_CASE("accounts states the requests and the credit of each account") {
+  Views V;
+  CHECK(V.send("key-secret-a", "x") == 200);
+  CHECK(V.send("key-secret-w", "x") == 503);
+  unsigned Served = 0;
+  for (int I = 0; I < 20; ++I)
+    Served += V.send("key-secret-s", "x") == 200 ? 1 : 0;
+  const json::object View = V.get("/accounts");
+  REQUIRE(V.Status == 200);
+  const json::array &All = View.at("accounts").as_array();
+  REQUIRE(All.size() == 3);
+  const auto number = [](const json::value &Row, const char *Name) {
+    return Row.at(Name).to_number<double>();
+  };
+  CHECK(number(All[0], "asked") == 1);
+  CHECK(number(All[0], "served") == 1);
+  CHECK_FALSE(All[0].as_object().contains("owner")); // It has no limit.
+  CHECK(number(All[1], "asked") == 20);
+  CHECK(number(All[1], "served") == Served);
+  CHECK(number(All[1], "limited") == 20 - Served);
+  CHECK(number(All[1].at("reasons"), "over_limit") == 20 - Served);
+  CHECK(number(All[1], "credit_granted") >= Served);
+  CHECK(All[1].at("owner") == "h1");
+  CHECK(number(All[1], "bucket") < 1);
+  CHECK(number(All[2].at("reasons"), "no_workers") == 1);
+  CHECK(V.get("/accounts?name=small").at("accounts").as_array().size() == 1);
+  const json::object Why =
+      V.get("/explain?host=a.example&path=/safe/x&account=small");
+  CHECK(member(Why, "reason") == "over_limit");
+  CHECK(Why.at("retry_after_ms").to_number<double>() > 0);
+  V.get("/accounts?name=key-secret");
+  CHECK(V.Status == 404);
+}
