Take reports of other hosts into the record of a worker

With 27 hosts and 304 workers a host gets a response of a given worker every 4 s, with 143 hosts once a minute, so most choices know nothing of the load. Reports of other hosts can only help if their age is taken into account.

WorkerRecord::recordPeerReport applies a report as of the time at which the worker stated it: own requests that were in flight then are subtracted (the last 8 changes are kept), those sent since then count through the requests in flight. Older information never replaces newer, and a report older than 2 s is dropped. Estimates on hosts that exchange reports stay unchanged for 1 s and then decay with 1.5 s as before; other hosts behave as before. The work factor of a report is part of the expected latency: the larger of the host's own latencies and the factor, which decays to 1 with 0.6 s.

QueueReport states whether the worker reported a factor, so that the exchange can be limited to deployments whose workers do.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -114,8 +114,7 @@
   // Without the caller's address: a request that crashes workers is sent again
   // from any address.
   RequestFingerprint = transport::requestFingerprint(
-      Request.Head, Request.Body, Request.Streamed,
-      MatchedRoute->HostName);
+      Request.Head, Request.Body, Request.Streamed, MatchedRoute->HostName);
   State.Dispatch.recordArrival(Service, ReceivedAt);
   std::optional<entry::CallerWatch> Watch;
   if (!Request.Streamed)
--- a/src/masticgap/coordination/affinity/worker_record.cpp
+++ b/src/masticgap/coordination/affinity/worker_record.cpp
@@ -9,6 +9,11 @@
 
 //! Time constant of the decay of reported load, a few service times.
 constexpr std::chrono::duration<double> ReportDecayTime{1.5};
+//! Time constant of the decay of a reported work factor, which changes many
+//! times a second.
+constexpr std::chrono::duration<double> WorkFactorDecayTime{0.6};
+//! Age at which the rest of a work factor is negligible.
+constexpr Duration MaxWorkFactorAge = std::chrono::seconds(3);
 //! Time constants of the decay of the latency ratio and of failures.
 constexpr std::chrono::duration<double> LatencyDecayTime{4.0};
 constexpr std::chrono::duration<double> FailureDecayTime{4.0};
@@ -28,14 +33,30 @@
 
 } // namespace
 
-void WorkerRecord::recordSent(Instant) {
+unsigned InFlightHistory::at(Instant Time, unsigned Current) const {
+  unsigned Result = Current;
+  // From the latest change to the oldest one.
+  for (std::size_t I = 0; I < Changes.size(); ++I) {
+    const Change &Each =
+        Changes[(Next + Changes.size() - 1 - I) % Changes.size()];
+    if (Each.At <= Time)
+      break;
+    Result = Each.Before;
+  }
+  return Result;
+}
+
+void WorkerRecord::recordSent(Instant Now) {
+  History.record(InFlight, Now);
   ++InFlight;
   Used = true;
 }
 
-void WorkerRecord::recordEnded() {
-  if (InFlight > 0)
-    --InFlight;
+void WorkerRecord::recordEnded(Instant Now) {
+  if (InFlight == 0)
+    return;
+  History.record(InFlight, Now);
+  --InFlight;
 }
 
 void WorkerRecord::recordAnswer(Duration Latency, Duration ExpectedLatency,
@@ -46,7 +67,7 @@
       ExpectedLatency > Duration(0)
           ? std::chrono::duration<double>(Latency) / ExpectedLatency
           : 1.0;
-  const double Previous = relativeLatency(Now);
+  const double Previous = ownLatencyRatio(Now);
   LatencyRatio = std::clamp(Previous + LatencyWeight * (Ratio - Previous), 0.3,
                             MaxLatencyRatio);
   LatencyRatioAt = Now;
@@ -56,10 +77,31 @@
   CountedAt = Now;
 }
 
-void WorkerRecord::recordLoad(const QueueReport &Report, Instant Now) {
+void WorkerRecord::recordLoad(const QueueReport &Report, Instant Now,
+                              Duration Hold) {
   const double Busy = Report.Running + Report.Waiting;
   OthersOccupancy = std::max(0.0, Busy - InFlight);
   LoadReportedAt = Now;
+  LoadHold = Hold;
+  WorkFactor = Report.WorkFactor;
+  WorkFactorAt = Now;
+}
+
+PeerReportResult WorkerRecord::recordPeerReport(const PeerReport &Report,
+                                                Instant Now) {
+  if (Now - Report.ReportedAt > MaxPeerReportAge)
+    return PeerReportResult::Expired;
+  if (Report.ReportedAt <= LoadReportedAt)
+    return PeerReportResult::Superseded;
+  // Own requests that were sent since then are in flight and are counted
+  // there; those that ended since then are not at the worker any more.
+  const unsigned Own = History.at(Report.ReportedAt, InFlight);
+  OthersOccupancy = Report.Busy > Own ? Report.Busy - Own : 0;
+  LoadReportedAt = Report.ReportedAt;
+  LoadHold = ExchangedReportHold;
+  WorkFactor = Report.WorkFactor;
+  WorkFactorAt = Report.ReportedAt;
+  return PeerReportResult::Applied;
 }
 
 void WorkerRecord::recordRefusedFull(unsigned Slots, Instant Now) {
@@ -94,8 +136,10 @@
 double WorkerRecord::occupancy(Instant Now) const {
   if (OthersOccupancy == 0)
     return InFlight;
-  return InFlight +
-         OthersOccupancy * decay(Now - LoadReportedAt, ReportDecayTime);
+  const Duration Age = Now - LoadReportedAt;
+  if (Age <= LoadHold)
+    return InFlight + OthersOccupancy;
+  return InFlight + OthersOccupancy * decay(Age - LoadHold, ReportDecayTime);
 }
 
 double WorkerRecord::failureShare(Instant Now) const {
@@ -107,10 +151,19 @@
   return Failures * Decay / (Results * Decay + 1);
 }
 
-double WorkerRecord::relativeLatency(Instant Now) const {
+double WorkerRecord::ownLatencyRatio(Instant Now) const {
   if (LatencyRatio == 1)
     return 1;
   return 1 + (LatencyRatio - 1) * decay(Now - LatencyRatioAt, LatencyDecayTime);
 }
 
+double WorkerRecord::relativeLatency(Instant Now) const {
+  const double Own = ownLatencyRatio(Now);
+  const Duration Age = Now - WorkFactorAt;
+  if (WorkFactor <= 1 || Age > MaxWorkFactorAge)
+    return Own;
+  const double Factor = std::min(WorkFactor, MaxLatencyRatio);
+  return std::max(Own, 1 + (Factor - 1) * decay(Age, WorkFactorDecayTime));
+}
+
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/affinity/worker_record.hpp
+++ b/src/masticgap/coordination/affinity/worker_record.hpp
@@ -2,6 +2,8 @@
 
 #include "masticgap/state/time.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace masticgap::coordination {
@@ -13,22 +15,73 @@
   unsigned Slots = 1;
   //! Time that work takes on the machine now, relative to the usual time.
   double WorkFactor = 1;
+  bool HasWorkFactor = false; //!< Whether the worker reported the factor.
 };
 
-//! Load, latency and failures of one worker as observed by this host.
+//! Load of a worker that another host was told by the worker.
+struct PeerReport {
+  unsigned Busy = 0;     //!< Running and waiting requests.
+  double WorkFactor = 1; //!< 1 if the worker did not report it.
+  Instant ReportedAt;    //!< On the clock of this process.
+};
+
+//! Result of a report of another host.
+enum class PeerReportResult {
+  Applied,
+  Unknown,    //!< This host does not know the worker.
+  Superseded, //!< This host has the same information or newer.
+  Expired     //!< Older than MaxPeerReportAge.
+};
+
+//! Reports of other hosts that are older are ignored.
+inline constexpr std::chrono::seconds MaxPeerReportAge{2};
+//! Age up to which an estimate from a report does not decay, on hosts that
+//! exchange reports. A newer report usually arrives earlier.
+inline constexpr std::chrono::seconds ExchangedReportHold{1};
+
+//! Number of requests in flight in the recent past. Beyond the last few
+//! changes, the number before the oldest known change is assumed.
+class InFlightHistory {
+public:
+  //! Records the number that was in flight until now.
+  void record(unsigned Before, Instant Now) {
+    Changes[Next] = {Now, Before};
+    Next = (Next + 1) % Changes.size();
+  }
+  //! Returns the number in flight at a time.
+  //! \param Current number in flight now.
+  unsigned at(Instant Time, unsigned Current) const;
+
+private:
+  struct Change {
+    Instant At;
+    unsigned Before = 0;
+  };
+  std::array<Change, 8> Changes;
+  std::size_t Next = 0; //!< Index of the oldest change.
+};
+
+//! Load, latency and failures of one worker as observed by this host, and load
+//! that other hosts observed.
 class WorkerRecord {
 public:
   //! Records that a request is sent to the worker.
   void recordSent(Instant Now);
   //! Records that a request is no longer in flight, whatever its result. The
   //! functions that record results do not do this.
-  void recordEnded();
+  void recordEnded(Instant Now);
 
   //! Records an answer of the worker, or a request that timed out.
   //! \param Latency time from sending the request to the answer or timeout.
   //! \param ExpectedLatency latency that was expected of this request.
   void recordAnswer(Duration Latency, Duration ExpectedLatency, Instant Now);
-  void recordLoad(const QueueReport &Report, Instant Now);
+  //! Records the load that the worker reported to this host.
+  //! \param Hold age up to which the estimate does not decay.
+  void recordLoad(const QueueReport &Report, Instant Now,
+                  Duration Hold = Duration(0));
+  //! Records the load that the worker reported to another host, unless this
+  //! host has newer information.
+  PeerReportResult recordPeerReport(const PeerReport &Report, Instant Now);
   //! Records that the full worker refused a request before execution.
   void recordRefusedFull(unsigned Slots, Instant Now);
   //! Records that a request that the worker ran failed.
@@ -44,7 +97,7 @@
   //! Returns the share of recent requests that failed.
   double failureShare(Instant Now) const;
   //! Returns the recent latency divided by the expected one, 1 without
-  //! evidence.
+  //! evidence; at least the recently reported work factor, if that is above 1.
   double relativeLatency(Instant Now) const;
   //! Returns whether the worker is ejected because it was unreachable.
   bool isEjected(Instant Now) const { return Now < EjectedUntil; }
@@ -54,9 +107,17 @@
   bool wasUsed() const { return Used; }
 
 private:
+  //! Returns the recent latency of this host's requests divided by the expected
+  //! one.
+  double ownLatencyRatio(Instant Now) const;
+
   unsigned InFlight = 0;
   double OthersOccupancy = 0; //!< Other hosts' requests, as of LoadReportedAt.
   Instant LoadReportedAt;
+  Duration LoadHold{0};  //!< Age up to which OthersOccupancy does not decay.
+  double WorkFactor = 1; //!< As of WorkFactorAt.
+  Instant WorkFactorAt;
+  InFlightHistory History;
   double LatencyRatio = 1; //!< Moving average, as of LatencyRatioAt.
   Instant LatencyRatioAt;
   double Failures = 0; //!< Decaying count, as of CountedAt.
--- a/src/masticgap/coordination/dispatch/dispatcher.cpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.cpp
@@ -391,7 +391,7 @@
                               Duration Latency, Instant Now) {
   WorkerRecord &Record = Records[Pick.Worker.Id];
   const bool WasUnreachable = Record.awaitsRecovery();
-  Record.recordEnded();
+  Record.recordEnded(Now);
   ServiceState &State = serviceState(Pick.Worker.Service, Now);
   const Duration RoundTrip = Pick.Worker.Region == Settings.Region
                                  ? Duration(0)
--- a/tests/coordination/affinity/affinity_load.tests.cpp
+++ b/tests/coordination/affinity/affinity_load.tests.cpp
@@ -117,7 +117,7 @@
       Worker &State = WorkerStates[Finished.Worker];
       --State.Running;
       WorkerRecord &Record = Records[Finished.Handled.Host][Finished.Worker];
-      Record.recordEnded();
+      Record.recordEnded(at(Finished.End));
       Record.recordLoad({static_cast<unsigned>(State.Running),
                          static_cast<unsigned>(State.Waiting.size()), Slots},
                         at(Finished.End));
--- a/tests/platform/wire.tests.cpp
+++ b/tests/platform/wire.tests.cpp
@@ -49,6 +49,7 @@
   CHECK(Load->Waiting == 0);
   CHECK(Load->Slots == 8);
   CHECK(Load->WorkFactor == 1);
+  CHECK_FALSE(Load->HasWorkFactor);
   struct Case {
     const char *Text;
     double Factor;
@@ -60,6 +61,7 @@
     REQUIRE(WithFactor);
     CHECK(WithFactor->Slots == 8);
     CHECK(WithFactor->WorkFactor == doctest::Approx(C.Factor));
+    CHECK(WithFactor->HasWorkFactor);
   }
   for (const char *Text :
        {"", "3", "3,0", "3,0,", "a,0,8", "-1,0,8", "3;0;8", "3,0,8,", "3,0,8,0",
