--- a/src/masticgap/coordination/dispatch/dispatcher.cpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.cpp
@@ -450,7 +450,30 @@
 
 void Dispatcher::recordLoad(const WorkerId &Worker, const QueueReport &Report,
                             Instant Now) {
-  Records[Worker].recordLoad(Report, Now);
+  Records[Worker].recordLoad(Report, Now,
+                             ExchangesLoad ? ExchangedReportHold : Duration(0));
+}
+
+void Dispatcher::updateKeys() {
+  if (KeysRevision == Directory.revision())
+    return;
+  KeysRevision = Directory.revision();
+  RecordsByKey.clear();
+  for (const auto &[Id, Known] : Directory.workers()) {
+    const auto [RecordIt, IsNew] =
+        RecordsByKey.try_emplace(loadKey(Id), &Records[Id]);
+    if (!IsNew)
+      RecordIt->second = nullptr;
+  }
+}
+
+PeerReportResult Dispatcher::recordPeerReport(const WorkerLoad &Load,
+                                              Instant Now) {
+  updateKeys();
+  const auto RecordIt = RecordsByKey.find(Load.Worker);
+  if (RecordIt == RecordsByKey.end() || !RecordIt->second)
+    return PeerReportResult::Unknown;
+  return RecordIt->second->recordPeerReport(Load.Report, Now);
 }
 
 void Dispatcher::recordDeath(const WorkerId &Worker, Instant Now) {
--- a/src/masticgap/coordination/dispatch/dispatcher.hpp
+++ b/src/masticgap/coordination/dispatch/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "masticgap/coordination/fleet_budget/cold_start_limiter.hpp"
 #include "masticgap/coordination/fleet_budget/fleet_retry_budget.hpp"
 #include "masticgap/coordination/joining/join_schedule.hpp"
+#include "masticgap/coordination/load_exchange/load_message.hpp"
 #include "masticgap/coordination/region_share/region_share.hpp"
 #include "masticgap/state/traffic_config.hpp"
 
@@ -16,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -111,6 +113,10 @@
                     Duration Latency, Instant Now);
   void recordLoad(const WorkerId &Worker, const QueueReport &Report,
                   Instant Now);
+  //! Sets whether this host gets reports of other hosts.
+  void setLoadExchange(bool IsActive) { ExchangesLoad = IsActive; }
+  //! Records the load that a worker reported to another host.
+  PeerReportResult recordPeerReport(const WorkerLoad &Load, Instant Now);
   //! Records that the worker's process died.
   void recordDeath(const WorkerId &Worker, Instant Now);
   //! Withdraws a retry from the service's budget.
@@ -138,6 +144,8 @@
   ServiceState &serviceState(const ServiceName &Service, Instant Now);
   //! Brings the list of the service's workers up to date.
   void updateMembers(ServiceState &State, const ServiceName &Service);
+  //! Brings RecordsByKey up to date.
+  void updateKeys();
   const ServiceTraits *traits(const ServiceName &Service) const;
   CandidateSet candidates(const DispatchRequest &Request, Instant Now);
   std::optional<WorkerPick> bestCandidate(const CandidateSet &Available,
@@ -161,6 +169,11 @@
   ColdStartLimiter ColdLimiter;
   std::map<ServiceName, std::unique_ptr<ServiceState>> ServiceStates;
   std::map<WorkerId, WorkerRecord> Records;
+  //! Records of the workers in the directory, as of KeysRevision; null for keys
+  //! that several workers have.
+  std::unordered_map<LoadKey, WorkerRecord *> RecordsByKey;
+  std::uint64_t KeysRevision = 0;
+  bool ExchangesLoad = false;
   std::vector<HostId> Hosts;
   std::map<RegionName, unsigned> LiveHosts;
   std::vector<HostId> LocalHosts; //!< Live hosts of the local region.
--- a/src/masticgap/coordination/fleet/worker_directory.hpp
+++ b/src/masticgap/coordination/fleet/worker_directory.hpp
@@ -122,6 +122,8 @@
   ServiceWorkers workers(const ServiceName &Service) const {
     return Workers.ofService(Service);
   }
+  //! Changes when a worker of any service is added or removed.
+  std::uint64_t revision() const { return Workers.revision(); }
   const KnownWorker *find(const WorkerId &Id) const;
   const std::set<FailureDomainName> &evacuated() const { return Evacuated; }
   //! Returns the newest incarnation of each worker that ended.
--- a/src/masticgap/coordination/fleet/worker_table.hpp
+++ b/src/masticgap/coordination/fleet/worker_table.hpp
@@ -94,6 +94,9 @@
     return {GroupIt->second.Workers, GroupIt->second.Revision};
   }
 
+  //! Changes when a worker of any service is added or removed.
+  std::uint64_t revision() const { return LastRevision; }
+
 private:
   struct Group {
     std::vector<const KnownWorker *> Workers; //!< By id.
--- a/tests/coordination/dispatch/dispatcher.tests.cpp
+++ b/tests/coordination/dispatch/dispatcher.tests.cpp
@@ -260,3 +260,29 @@
   CHECK(Simulate(true) > 0.9);
   CHECK(Simulate(false) < 0.4);
 }
+
+// Guards against reports of other hosts that have no effect, and against ones
+// about a worker that this host no longer knows.
+TEST_CASE("a report of another host counts in the choice of a worker") {
+  Fixture F(4, 0);
+  F.Dispatch.setLoadExchange(true);
+  const std::string Preferred = chosen(F.choose(1, Start));
+  const WorkerId Id(Preferred);
+  CHECK(F.Dispatch.recordPeerReport({loadKey(Id), {12, 1, Start}}, Start) ==
+        PeerReportResult::Applied);
+  CHECK(chosen(F.choose(1, Start + 900ms)) != Preferred);
+  CHECK(F.Dispatch.recordPeerReport({loadKey(Id), {0, 2.5, Start + 1s}},
+                                    Start + 1s) == PeerReportResult::Applied);
+  CHECK(F.Dispatch.record(Id)->relativeLatency(Start + 1s) ==
+        doctest::Approx(2.5));
+  CHECK(chosen(F.choose(1, Start + 5s)) == Preferred);
+  // Own reports do not decay at once either.
+  F.Dispatch.recordLoad(Id, {3, 9, 3}, Start + 6s);
+  CHECK(F.Dispatch.record(Id)->occupancy(Start + 7s) == doctest::Approx(12));
+  CHECK(F.Dispatch.recordPeerReport({loadKey(WorkerId("x")), {1, 1, Start}},
+                                    Start) == PeerReportResult::Unknown);
+  F.Dispatch.directory().recordRemovals({Id}, Duration(0), Start + 8s);
+  F.Dispatch.tick(Start + 8s);
+  CHECK(F.Dispatch.recordPeerReport({loadKey(Id), {1, 1, Start + 8s}},
+                                    Start + 8s) == PeerReportResult::Unknown);
+}
