Exchange the load of workers between the gateways of a region

A host learns the load of a worker only from responses to its own requests, once a minute at 143 hosts, so most choices have no information about load.

It opens with the first report that has a work factor, or with any report if load_exchange is "on"; "off" ends it on a reload. Other deployments have neither socket nor timer. The timer runs only while there is something to send. Datagrams are accepted from the address and port of a live member of the region only.

Log lines load_gatherer and load_port_failed; metrics of reports sent, received, applied with their ages, and dropped by reason; gauges for an active exchange and for the gatherer. Settings load_port, load_exchange and load_period.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -150,9 +150,11 @@
     if (Gossip)
       Gossip->spread(What);
   });
-  State.AccountLimits.setMembers([this] {
+  const auto CurrentMembers = [this] {
     return Gossip ? Gossip->members() : std::span<const MemberRecord>();
-  });
+  };
+  State.AccountLimits.setMembers(CurrentMembers);
+  State.Loads.setMembers(CurrentMembers);
   scheduleTick();
   return {};
 }
@@ -218,6 +220,7 @@
   if (Stopping)
     Gossip->planLeave();
   State.AccountLimits.membersChanged();
+  State.Loads.membersChanged();
   announceProgress();
   updateHosts();
   return {};
@@ -236,6 +239,7 @@
                      {"run", Changed.Host.Run.Value}});
   updateHosts();
   State.AccountLimits.membersChanged();
+  State.Loads.membersChanged();
   // The list of members does not contain the change yet.
   asio::post(Io, [this] {
     if (!Ended)
@@ -355,6 +359,7 @@
   });
   Sync.tick();
   State.AccountLimits.tick();
+  State.Loads.tick();
   catchUpWithPeers();
   joinByStore();
   State.giveBackMemory();
@@ -425,6 +430,8 @@
        static_cast<double>(State.Connections.connectionsOpened())},
       {"workers_known",
        static_cast<double>(State.Dispatch.directory().workers().size())},
+      {"load_exchange_active", State.Loads.isActive() ? 1 : 0},
+      {"load_gatherer", State.Loads.isGatherer() ? 1 : 0},
       {"members", static_cast<double>(Gossip ? Gossip->members().size() : 0)}};
   transport::HttpResponse Answer = transport::jsonResponse(
       Request, http::status::ok, State.Stats.text(Gauges));
@@ -445,7 +452,8 @@
       New.Readiness != Settings.Readiness ||
       New.GossipPort != Settings.GossipPort ||
       New.PeerPort != Settings.PeerPort ||
-      New.AccountPort != Settings.AccountPort || New.Host != Settings.Host;
+      New.AccountPort != Settings.AccountPort ||
+      New.LoadPort != Settings.LoadPort || New.Host != Settings.Host;
   if (AddressesChanged) {
     State.Log.write(LogClass::Decision, "reload_partial",
                     {{"reason", "addresses change at the next start only"}});
@@ -455,6 +463,7 @@
     New.GossipPort = Settings.GossipPort;
     New.PeerPort = Settings.PeerPort;
     New.AccountPort = Settings.AccountPort;
+    New.LoadPort = Settings.LoadPort;
     New.Host = Settings.Host;
   }
   Settings = std::move(New);
@@ -477,6 +486,7 @@
   if (Gossip)
     Gossip->planLeave();
   State.AccountLimits.membersChanged();
+  State.Loads.membersChanged();
   Servers->Traffic->closeAfterAnswers();
   StopTimer.expires_after(
       std::min(Settings.ServeCached, Settings.GracePeriod / 2));
@@ -514,6 +524,7 @@
     Gossip->leave();
   Sync.stop();
   State.AccountLimits.stop();
+  State.Loads.stop();
   TickTimer.cancel();
   StopTimer.cancel();
   State.Log.stop();
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -53,6 +53,7 @@
           Io, [] { return transport::now(); }, Settings.Traffic.Address),
       Crashes(Io, Connections, Dispatch, Log, Stats),
       AccountLimits(Io, Settings, Log, Stats, Seed + 3),
+      Loads(Io, Settings, Dispatch, Log, Stats, Network),
       Buffers(
           std::make_shared<coordination::BufferBudget>(callerMemory(Settings))),
       CallerAccounts(transport::CallerRegistry::create(
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -4,6 +4,7 @@
 #include "gateway/account_exchange.hpp"
 #include "gateway/crash_detector.hpp"
 #include "gateway/decision_log.hpp"
+#include "gateway/load_exchange.hpp"
 #include "gateway/metrics.hpp"
 #include "gateway/platform_api.hpp"
 #include "gateway/settings.hpp"
@@ -59,6 +60,7 @@
   transport::WorkerConnectionPool Connections;
   CrashDetector Crashes;
   AccountExchange AccountLimits;
+  LoadExchange Loads;
   //! Number of requests in progress. It is shared because the io_context
   //! destroys the remaining requests after this object.
   std::shared_ptr<unsigned> InFlight = std::make_shared<unsigned>(0);
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -151,8 +151,10 @@
 RequestFlow::receive(WorkerExchange &Exchange, const WorkerPick &Pick,
                      Instant SentAt) {
   if (const auto Load =
-          State.Wire.ParseLoad(view(Exchange.head()[State.Wire.LoadField])))
+          State.Wire.ParseLoad(view(Exchange.head()[State.Wire.LoadField]))) {
     State.Dispatch.recordLoad(Pick.Worker.Id, *Load, State.now());
+    State.Loads.recordOwn(Pick.Worker.Id, *Load);
+  }
   // Not buffered: an answer that must not be forwarded is handled like a
   // truncated one. The request may have been executed.
   if (!isUsable(Exchange.head()))
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -46,6 +46,7 @@
   Settings.PeerPort = Reader.number("peer_port", 1, MaxPort, Settings.PeerPort);
   Settings.AccountPort =
       Reader.number("account_port", 0, MaxPort, Settings.AccountPort);
+  Settings.LoadPort = Reader.number("load_port", 0, MaxPort, Settings.LoadPort);
   Settings.MetricsPort =
       Reader.number("metrics_port", 0, MaxPort, Settings.MetricsPort);
 }
@@ -85,6 +86,12 @@
       Reader.decimal("quota_overage", 0, 10, Settings.QuotaOverage);
   Settings.QuotaSlack =
       Reader.decimal("quota_slack", 0, MaxQuotaSlack, Settings.QuotaSlack);
+  // In the order of the enumerators.
+  constexpr std::string_view Modes[] = {"auto", "on", "off"};
+  Settings.LoadExchange = static_cast<LoadExchangeMode>(Reader.word(
+      "load_exchange", Modes, static_cast<std::size_t>(Settings.LoadExchange)));
+  Settings.LoadPeriod =
+      Reader.duration("load_period", 50, MaxTimeMs, Settings.LoadPeriod);
   Settings.LogRequests = Reader.flag("log_requests", Settings.LogRequests);
 }
 
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -16,6 +16,13 @@
 
 namespace masticgap::gateway {
 
+//! Whether the hosts of a region exchange the load that workers report.
+enum class LoadExchangeMode {
+  Auto, //!< If the workers report a work factor.
+  On,
+  Off
+};
+
 //! Checked settings of one gateway.
 struct GatewaySettings {
   HostId Host;
@@ -73,6 +80,19 @@
   double QuotaSlack = 20;  //!< Requests.
   bool LogRequests = true; //!< Also log answered requests.
 
+  LoadExchangeMode LoadExchange = LoadExchangeMode::Auto;
+  //! UDP, load of workers; 0: two ports after GossipPort.
+  std::uint16_t LoadPort = 0;
+  //! Period at which a host sends new reports of workers to other hosts.
+  std::chrono::milliseconds LoadPeriod{250};
+
+  std::uint16_t loadPort() const {
+    // The two highest ports have none after them that is not in use.
+    constexpr std::uint16_t Highest = 65535;
+    return LoadPort != 0               ? LoadPort
+           : GossipPort <= Highest - 2 ? GossipPort + 2
+                                       : GossipPort - 2;
+  }
   std::uint16_t accountPort() const {
     // The highest port has none after it.
     constexpr std::uint16_t Highest = 65535;
--- a/src/masticgap/transport/settings_reader.cpp
+++ b/src/masticgap/transport/settings_reader.cpp
@@ -171,6 +171,22 @@
   return Value->as_bool();
 }
 
+std::size_t SettingsReader::word(std::string_view Key,
+                                 std::span<const std::string_view> Accepted,
+                                 std::size_t Default) {
+  const json::value *Value = find(Key);
+  if (!Value)
+    return Default;
+  std::string Remedy = "set it to one of";
+  for (std::size_t I = 0; I < Accepted.size(); ++I) {
+    if (Value->is_string() && view(Value->as_string()) == Accepted[I])
+      return I;
+    Remedy.append(" \"").append(Accepted[I]).append("\"");
+  }
+  reject(Key, *Value, Remedy);
+  return Default;
+}
+
 std::map<std::string, std::string> SettingsReader::texts(std::string_view Key) {
   std::map<std::string, std::string> Result;
   const json::value *Value = find(Key);
--- a/src/masticgap/transport/settings_reader.hpp
+++ b/src/masticgap/transport/settings_reader.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,11 @@
   //! Reads an optional decimal number.
   double decimal(std::string_view Key, double Min, double Max, double Default);
   bool flag(std::string_view Key, bool Default);
+  //! Reads an optional string that is one of several words.
+  //! \returns the index of the word.
+  std::size_t word(std::string_view Key,
+                   std::span<const std::string_view> Accepted,
+                   std::size_t Default);
   //! Reads a required object whose values are strings.
   std::map<std::string, std::string> texts(std::string_view Key);
 
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -13,6 +13,7 @@
 #include <doctest/doctest.h>
 
 #include <future>
+#include <sstream>
 
 namespace masticgap::tests {
 
@@ -76,15 +77,17 @@
   });
 }
 
-GatewayFixture::GatewayFixture(GatewayFixture &Other)
+// A host that is the only one of its failure domain reads the store itself.
+GatewayFixture::GatewayFixture(GatewayFixture &Other, const std::string &Host,
+                               const std::string &Domain,
+                               const std::string &Address)
     : Store(Other.Store), StoreOwner(&Other), Settings(Other.Settings) {
   // All hosts of a fleet use the same ports.
-  Settings.Host = HostId("h2");
-  // As the only host of its failure domain it reads the store itself.
-  Settings.Domain = FailureDomainName("e");
-  Settings.Traffic.Address = "127.0.0.2";
-  Settings.Readiness.Address = "127.0.0.2";
-  Settings.Lookup.Address = "127.0.0.2";
+  Settings.Host = HostId(Host);
+  Settings.Domain = FailureDomainName(Domain);
+  Settings.Traffic.Address = Address;
+  Settings.Readiness.Address = Address;
+  Settings.Lookup.Address = Address;
   Settings.Seeds = {Other.Settings.Traffic};
   Settings.Platform = Store->sideDoor();
 }
@@ -265,6 +268,20 @@
   }
 }
 
+unsigned GatewayFixture::metric(const std::string &Name) {
+  const auto Text =
+      get({Settings.Traffic.Address, Settings.MetricsPort}, "/metrics");
+  REQUIRE(Text);
+  const std::string Prefix = "masticgap_" + Name;
+  unsigned Sum = 0;
+  std::istringstream Lines(Text->body());
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.starts_with(Prefix + " ") || Line.starts_with(Prefix + "{"))
+      Sum +=
+          static_cast<unsigned>(std::stoul(Line.substr(Line.rfind(' ') + 1)));
+  return Sum;
+}
+
 unsigned GatewayFixture::gauge(const std::string &Name) {
   const std::string Gauge = "\nmasticgap_" + Name + " ";
   const auto Text =
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -22,7 +22,10 @@
   GatewayFixture();
   //! Creates a second gateway, which follows the store of the other fixture
   //! through the store's second port.
-  explicit GatewayFixture(GatewayFixture &Other);
+  //! \param Domain failure domain "d", "e" or "f" of the region.
+  explicit GatewayFixture(GatewayFixture &Other, const std::string &Host = "h2",
+                          const std::string &Domain = "e",
+                          const std::string &Address = "127.0.0.2");
   ~GatewayFixture();
   GatewayFixture(const GatewayFixture &) = delete;
   GatewayFixture &operator=(const GatewayFixture &) = delete;
@@ -59,6 +62,10 @@
     Settings.GracePeriod = Time;
   }
 
+  void setLoadExchange(gateway::LoadExchangeMode Mode) {
+    Settings.LoadExchange = Mode;
+  }
+
   //! Sets the parser of the load that a worker reports.
   void setLoadParser(decltype(gateway::WireFormat::ParseLoad) Parser) {
     ParseLoad = std::move(Parser);
@@ -84,6 +91,10 @@
   //! Returns the version of the configuration in force.
   unsigned configVersion() { return gauge("config_version"); }
 
+  //! Returns the value of a metric without labels, or the sum of all values of
+  //! a metric with them; 0 if there is none.
+  unsigned metric(const std::string &Name);
+
   const gateway::GatewaySettings &settings() const { return Settings; }
 
 private:
--- a/tests/gateway/gateway_settings.tests.cpp
+++ b/tests/gateway/gateway_settings.tests.cpp
@@ -15,7 +15,8 @@
 "lookup":"10.0.0.1:82","gossip_port":7000,"peer_port":7001,"metrics_port":9464,
 "seeds":["10.0.0.2:9"],"platform":"10.0.0.9:90","grace_period":"6s",
 "retry_ratio":0.2,"retry_slack":112,"retry_window":"10s",
-"quota_window":"4s","quota_overage":0.2,"quota_slack":30})";
+"quota_window":"4s","quota_overage":0.2,"quota_slack":30,
+"load_exchange":"off","load_period":"500ms"})";
   const std::size_t Position = Text.find(Replaced);
   REQUIRE(Position != std::string::npos);
   return Text.replace(Position, Replaced.size(), Replacement);
@@ -31,6 +32,9 @@
   CHECK(Settings.GracePeriod == std::chrono::milliseconds(2500));
   CHECK(Settings.Retries.Window == std::chrono::seconds(10));
   CHECK(Settings.accountPort() == 7001);
+  CHECK(Settings.loadPort() == 7002);
+  CHECK(Settings.LoadExchange == LoadExchangeMode::Off);
+  CHECK(Settings.LoadPeriod == std::chrono::milliseconds(500));
   CHECK(Settings.QuotaWindow == std::chrono::seconds(4));
   CHECK(Settings.QuotaOverage == doctest::Approx(0.2));
   CHECK(Settings.QuotaSlack == doctest::Approx(30));
@@ -58,6 +62,10 @@
       {"\"quota_overage\":0.2", "\"quota_overage\":-1", "quota_overage"},
       {":30", ":\"many\"", "quota_slack"},
       {"\"peer_port\"", "\"account_port\":70000,\"peer_port\"", "account_port"},
+      {"\"off\"", "\"maybe\"", "load_exchange"},
+      {"\"off\"", "true", "load_exchange"},
+      {"\"500ms\"", "1", "load_period"},
+      {"\"peer_port\"", "\"load_port\":70000,\"peer_port\"", "load_port"},
       {"{\"d\":\"r\"}", "{\"d\":7}", "failure_domains"},
       {"{\"d\":\"r\"}", "{\"e\":\"r\"}", "failure_domain"},
       {"[\"10.0.0.2:9\"]", "7", "seeds"},
