Keep the choice of a worker as fast as before the load exchange

A choice reads the record of each worker of the service.

Tests: all 214 coordination-tests pass; 10 gateway-tests about the exchange, accounts, settings and planned stops pass.

--- a/src/masticgap/coordination/affinity/worker_record.cpp
+++ b/src/masticgap/coordination/affinity/worker_record.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace masticgap::coordination {
 
@@ -33,15 +34,21 @@
 
 } // namespace
 
+void InFlightHistory::record(unsigned Number, Instant Now) {
+  ChangedAt.at(Next) = Now;
+  Before.at(Next) = static_cast<std::uint16_t>(
+      std::min<unsigned>(Number, std::numeric_limits<std::uint16_t>::max()));
+  Next = static_cast<std::uint8_t>((Next + 1U) % KeptChanges);
+}
+
 unsigned InFlightHistory::at(Instant Time, unsigned Current) const {
   unsigned Result = Current;
   // From the latest change to the oldest one.
-  for (std::size_t I = 0; I < Changes.size(); ++I) {
-    const Change &Each =
-        Changes[(Next + Changes.size() - 1 - I) % Changes.size()];
-    if (Each.At <= Time)
+  for (std::size_t I = 1; I <= KeptChanges; ++I) {
+    const std::size_t Index = (Next + KeptChanges - I) % KeptChanges;
+    if (ChangedAt.at(Index) <= Time)
       break;
-    Result = Each.Before;
+    Result = Before.at(Index);
   }
   return Result;
 }
@@ -67,7 +74,7 @@
       ExpectedLatency > Duration(0)
           ? std::chrono::duration<double>(Latency) / ExpectedLatency
           : 1.0;
-  const double Previous = ownLatencyRatio(Now);
+  const double Previous = decayedLatencyRatio(Now);
   LatencyRatio = std::clamp(Previous + LatencyWeight * (Ratio - Previous), 0.3,
                             MaxLatencyRatio);
   LatencyRatioAt = Now;
@@ -83,7 +90,7 @@
   OthersOccupancy = std::max(0.0, Busy - InFlight);
   LoadReportedAt = Now;
   LoadHold = Hold;
-  WorkFactor = Report.WorkFactor;
+  WorkFactor = std::min(Report.WorkFactor, MaxLatencyRatio);
   WorkFactorAt = Now;
 }
 
@@ -99,7 +106,7 @@
   OthersOccupancy = Report.Busy > Own ? Report.Busy - Own : 0;
   LoadReportedAt = Report.ReportedAt;
   LoadHold = ExchangedReportHold;
-  WorkFactor = Report.WorkFactor;
+  WorkFactor = std::min(Report.WorkFactor, MaxLatencyRatio);
   WorkFactorAt = Report.ReportedAt;
   return PeerReportResult::Applied;
 }
@@ -131,39 +138,27 @@
   return WasReachable;
 }
 
-// Most workers have no recent evidence of one kind, and a choice reads all of
-// them, so the decay is not computed for nothing.
-double WorkerRecord::occupancy(Instant Now) const {
-  if (OthersOccupancy == 0)
-    return InFlight;
-  const Duration Age = Now - LoadReportedAt;
-  if (Age <= LoadHold)
-    return InFlight + OthersOccupancy;
-  return InFlight + OthersOccupancy * decay(Age - LoadHold, ReportDecayTime);
+double WorkerRecord::decayedOthers(Instant Now) const {
+  return OthersOccupancy *
+         decay(Now - LoadReportedAt - LoadHold, ReportDecayTime);
 }
 
-double WorkerRecord::failureShare(Instant Now) const {
-  if (Failures == 0)
-    return 0;
+double WorkerRecord::decayedFailureShare(Instant Now) const {
   const double Decay = decay(Now - CountedAt, FailureDecayTime);
   // Assumes one additional success, so that a single failure does not yield a
   // share of 1.
   return Failures * Decay / (Results * Decay + 1);
 }
 
-double WorkerRecord::ownLatencyRatio(Instant Now) const {
-  if (LatencyRatio == 1)
-    return 1;
+double WorkerRecord::decayedLatencyRatio(Instant Now) const {
   return 1 + (LatencyRatio - 1) * decay(Now - LatencyRatioAt, LatencyDecayTime);
 }
 
-double WorkerRecord::relativeLatency(Instant Now) const {
-  const double Own = ownLatencyRatio(Now);
+double WorkerRecord::decayedWorkFactor(Instant Now) const {
   const Duration Age = Now - WorkFactorAt;
-  if (WorkFactor <= 1 || Age > MaxWorkFactorAge)
-    return Own;
-  const double Factor = std::min(WorkFactor, MaxLatencyRatio);
-  return std::max(Own, 1 + (Factor - 1) * decay(Age, WorkFactorDecayTime));
+  if (Age > MaxWorkFactorAge)
+    return 1;
+  return 1 + (WorkFactor - 1) * decay(Age, WorkFactorDecayTime);
 }
 
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/affinity/worker_record.hpp
+++ b/src/masticgap/coordination/affinity/worker_record.hpp
@@ -2,6 +2,7 @@
 
 #include "masticgap/state/time.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -44,21 +45,16 @@
 class InFlightHistory {
 public:
   //! Records the number that was in flight until now.
-  void record(unsigned Before, Instant Now) {
-    Changes[Next] = {Now, Before};
-    Next = (Next + 1) % Changes.size();
-  }
+  void record(unsigned Number, Instant Now);
   //! Returns the number in flight at a time.
   //! \param Current number in flight now.
   unsigned at(Instant Time, unsigned Current) const;
 
 private:
-  struct Change {
-    Instant At;
-    unsigned Before = 0;
-  };
-  std::array<Change, 8> Changes;
-  std::size_t Next = 0; //!< Index of the oldest change.
+  static constexpr std::size_t KeptChanges = 8;
+  std::array<Instant, KeptChanges> ChangedAt;
+  std::array<std::uint16_t, KeptChanges> Before{}; //!< Saturated.
+  std::uint8_t Next = 0; //!< Index of the oldest change.
 };
 
 //! Load, latency and failures of one worker as observed by this host, and load
@@ -93,12 +89,24 @@
   unsigned inFlight() const { return InFlight; }
   //! Returns the requests at the worker: those of this host plus an estimate of
   //! those of the other hosts.
-  double occupancy(Instant Now) const;
+  // Most workers have no recent evidence of one kind, and a choice reads all of
+  // them, so this and the next ones compute a decay only if there is any.
+  double occupancy(Instant Now) const {
+    if (OthersOccupancy == 0)
+      return InFlight;
+    return InFlight + (Now - LoadReportedAt <= LoadHold ? OthersOccupancy
+                                                        : decayedOthers(Now));
+  }
   //! Returns the share of recent requests that failed.
-  double failureShare(Instant Now) const;
+  double failureShare(Instant Now) const {
+    return Failures == 0 ? 0 : decayedFailureShare(Now);
+  }
   //! Returns the recent latency divided by the expected one, 1 without
   //! evidence; at least the recently reported work factor, if that is above 1.
-  double relativeLatency(Instant Now) const;
+  double relativeLatency(Instant Now) const {
+    const double Own = LatencyRatio == 1 ? 1 : decayedLatencyRatio(Now);
+    return WorkFactor <= 1 ? Own : std::max(Own, decayedWorkFactor(Now));
+  }
   //! Returns whether the worker is ejected because it was unreachable.
   bool isEjected(Instant Now) const { return Now < EjectedUntil; }
   //! Returns whether the worker was unreachable and has not answered since.
@@ -107,9 +115,12 @@
   bool wasUsed() const { return Used; }
 
 private:
+  double decayedOthers(Instant Now) const;
+  double decayedFailureShare(Instant Now) const;
   //! Returns the recent latency of this host's requests divided by the expected
   //! one.
-  double ownLatencyRatio(Instant Now) const;
+  double decayedLatencyRatio(Instant Now) const;
+  double decayedWorkFactor(Instant Now) const;
 
   unsigned InFlight = 0;
   double OthersOccupancy = 0; //!< Other hosts' requests, as of LoadReportedAt.
@@ -117,7 +128,6 @@
   Duration LoadHold{0};  //!< Age up to which OthersOccupancy does not decay.
   double WorkFactor = 1; //!< As of WorkFactorAt.
   Instant WorkFactorAt;
-  InFlightHistory History;
   double LatencyRatio = 1; //!< Moving average, as of LatencyRatioAt.
   Instant LatencyRatioAt;
   double Failures = 0; //!< Decaying count, as of CountedAt.
@@ -126,6 +136,8 @@
   unsigned UnreachableCount = 0; //!< Consecutive connection failures.
   Instant EjectedUntil;
   bool Used = false;
+  // Last, so that what a choice reads of all workers is close together.
+  InFlightHistory History;
 };
 
 } // namespace masticgap::coordination
