--- a/src/gateway/account_exchange.cpp
+++ b/src/gateway/account_exchange.cpp
@@ -223,7 +223,8 @@
   Peers.clear();
   PeerHosts.clear();
   for (const MemberRecord &Member : MemberSource()) {
-    All.push_back({Member.Host.Id, statusOf(Member), Member.SizeClass});
+    All.push_back(
+        {Member.Host.Id, statusOf(Member), Member.SizeClass, Member.Host.Run});
     if (!isLive(Member) || Member.Host.Id == Settings.Host)
       continue;
     error_code Failed;
--- a/src/masticgap/coordination/account_limit/account_owner.cpp
+++ b/src/masticgap/coordination/account_limit/account_owner.cpp
@@ -1,5 +1,6 @@
 #include "masticgap/coordination/account_limit/account_owner.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace masticgap::coordination {
@@ -13,6 +14,9 @@
 constexpr Duration RefusalDecay = std::chrono::seconds(1);
 //! A host asks the account's next owner after this time.
 constexpr Duration NotOwnerRetry = std::chrono::milliseconds(500);
+//! Ownerships that begin within this time of the start of the process belong to
+//! the start.
+constexpr Duration StartTime = std::chrono::seconds(5);
 
 double seconds(Duration Time) {
   return std::chrono::duration<double>(Time).count();
@@ -42,7 +46,13 @@
 }
 
 Instant AccountOwner::servesFrom(const Bucket &Target) const {
-  return Target.Settles ? Target.BeganAt + Owners.settleTime() : Target.BeganAt;
+  if (!Target.Settles)
+    return Target.BeganAt;
+  const Instant Settled = Target.BeganAt + Owners.settleTime();
+  const auto CommonStart = Owners.commonStart();
+  if (!CommonStart || Target.BeganAt > StartedAt + StartTime)
+    return Settled;
+  return std::min(Settled, std::max(Target.BeganAt, *CommonStart));
 }
 
 void AccountOwner::begin(Bucket &Target, Instant BeganAt, bool Settles,
--- a/src/masticgap/coordination/account_limit/account_owners.cpp
+++ b/src/masticgap/coordination/account_limit/account_owners.cpp
@@ -18,6 +18,12 @@
 //! Owners are at least this part of the live members, so that the credit
 //! requests of all hosts do not overload a few.
 constexpr std::size_t OwnerShareDivisor = 32;
+//! Processes that start within this time of each other belong to one start of
+//! the fleet; clocks may differ by less.
+constexpr std::uint64_t MaxStartSpreadMs = 5000;
+
+//! Returns the start of a process by the clock of its host.
+std::uint64_t startMs(Incarnation Run) { return Run.Value >> 16; }
 
 std::uint64_t hostHash(const HostId &Host) {
   return XXH3_64bits(Host.value().data(), Host.value().size());
@@ -58,16 +64,20 @@
     const bool WasDead = Before != Members.end() &&
                          Before->second.Status == FleetMemberStatus::Dead;
     const Instant DeadSince = WasDead ? Before->second.DeadSince : Now;
-    Updated[Member.Host] = {Member.Status, DeadSince, Member.SizeClass};
+    Updated[Member.Host] = {Member.Status, DeadSince, Member.SizeClass,
+                            Member.Run};
     const bool IsLive = Member.Status == FleetMemberStatus::Live ||
                         Member.Status == FleetMemberStatus::Stopping;
     Live += IsLive ? 1 : 0;
+    if (IsLive && (Before == Members.end() || Before->second.Run != Member.Run))
+      JoinedAt = Now;
     Known += IsLive || (Member.Status == FleetMemberStatus::Dead &&
                         Now - DeadSince < DeadMemory)
                  ? 1
                  : 0;
   }
   Members = std::move(Updated);
+  StartedTogether = startedTogether();
   if (Live <= 1)
     Known = std::max(Known, MinMembers);
   Known = std::max<std::size_t>(1, Known);
@@ -126,6 +136,25 @@
                                 : Found->second.Status;
 }
 
+bool AccountOwners::startedTogether() const {
+  const auto Own = Members.find(Self);
+  if (Live <= 1 || Own == Members.end())
+    return false;
+  const std::uint64_t OwnStart = startMs(Own->second.Run);
+  return std::ranges::none_of(Members, [&](const auto &Entry) {
+    const KnownMember &Member = Entry.second;
+    return Member.Status == FleetMemberStatus::Dead ||
+           (Member.Status != FleetMemberStatus::Left &&
+            startMs(Member.Run) + MaxStartSpreadMs < OwnStart);
+  });
+}
+
+std::optional<Instant> AccountOwners::commonStart() const {
+  if (!StartedTogether)
+    return std::nullopt;
+  return JoinedAt + Settings.GossipPeriod * 2;
+}
+
 void AccountOwners::updateShare(Instant Now) {
   Share.setWindow(settleTime());
   const std::size_t All = std::max(Known, KnownByPeers);
--- a/src/masticgap/coordination/account_limit/account_owners.hpp
+++ b/src/masticgap/coordination/account_limit/account_owners.hpp
@@ -2,9 +2,11 @@
 
 #include "masticgap/coordination/account_limit/account_limit.hpp"
 #include "masticgap/coordination/internal/sliding_extreme.hpp"
+#include "masticgap/state/incarnation.hpp"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -23,6 +25,7 @@
   HostId Host;
   FleetMemberStatus Status = FleetMemberStatus::Live;
   std::uint8_t SizeClass = 0; //!< See MemberRecord.
+  Incarnation Run;            //!< Of its process; 0: unknown.
 };
 
 //! This host's view of which host owns each account, and of its part of the
@@ -47,6 +50,11 @@
   bool isOwnedHere(AccountKey Account) const { return owner(Account) == Self; }
   //! Returns the status of a member; Left if it is unknown.
   FleetMemberStatus status(const HostId &Host) const;
+  //! Returns when the owners may grant credit in a fleet whose processes have
+  //! all just started, so that nobody granted credit before: once the members
+  //! stop changing. \returns nothing if a member may be older, or if this host
+  //! knows no other one.
+  std::optional<Instant> commonStart() const;
   //! Returns the live share of the members, the smallest one within the settle
   //! time. The sum over parts that cannot reach each other is at most 1.
   double share(Instant Now);
@@ -63,6 +71,7 @@
   const HostId &self() const { return Self; }
 
 private:
+  bool startedTogether() const;
   void assign();
   std::uint8_t ownerClass() const;
   void updateShare(Instant Now);
@@ -71,6 +80,7 @@
     FleetMemberStatus Status = FleetMemberStatus::Live;
     Instant DeadSince;
     std::uint8_t SizeClass = 0;
+    Incarnation Run;
   };
 
   AccountLimitSettings Settings;
@@ -82,6 +92,8 @@
   std::size_t Known = 1;
   std::size_t KnownByPeers = 0;
   Instant KnownByPeersAt;
+  bool StartedTogether = false;
+  Instant JoinedAt; //!< When the last live member was learned.
   internal::SlidingExtreme<double, std::less<>> Share;
 };
 
--- a/tests/coordination/account_limit/account_limit.tests.cpp
+++ b/tests/coordination/account_limit/account_limit.tests.cpp
@@ -365,6 +365,43 @@
   }
 }
 
+// Guards against seconds without credit after a power failure of all hosts:
+// nobody has granted credit that new owners would have to wait for. If one host
+// was not restarted, it may still grant, and they have to wait.
+TEST_CASE("owners grant credit soon after a start of all hosts") {
+  struct Case {
+    const char *Name;
+    std::size_t Kept;            //!< Hosts that are not restarted.
+    double MinServed, MaxServed; //!< Share from 3 to 5 s after the start.
+  };
+  for (const Case &C : {Case{"all hosts start", 0, 0.9, 1},
+                        Case{"one host was not restarted", 1, 0, 0.9}}) {
+    CAPTURE(C.Name);
+    constexpr std::size_t Count = 100;
+    AccountWorld World(Count,
+                       {{limitOf("large", 200, 200), 150, 0, Count},
+                        {limitOf("above", 50, 50), 400, 0, Count}},
+                       11);
+    World.run(10s);
+    for (std::size_t I = C.Kept; I < Count; ++I)
+      World.kill(I);
+    World.run(500ms);
+    for (std::size_t I = C.Kept; I < Count; ++I)
+      World.start(I);
+    World.run(3s);
+    World.resetTotals();
+    World.run(2s);
+    const auto &Totals = World.totals(0);
+    const double Served =
+        static_cast<double>(Totals.Served) / std::max(1U, Totals.Requests);
+    CHECK(Served >= C.MinServed);
+    CHECK(Served <= C.MaxServed);
+    World.run(10s);
+    for (std::size_t Load = 0; Load < 2; ++Load)
+      CHECK(World.totals(Load).LargestExcess <= 0);
+  }
+}
+
 // Guards against credit given out twice when owners change or cannot see each
 // other.
 TEST_CASE("the limits of accounts hold under faults") {
--- a/tests/coordination/account_limit/account_world.cpp
+++ b/tests/coordination/account_limit/account_world.cpp
@@ -237,7 +237,8 @@
       return;
     std::vector<FleetMember> Members;
     for (std::size_t I = 0; I < Hosts.size(); ++I)
-      Members.push_back({Hosts[I].Id, Target.View[I], Hosts[I].SizeClass});
+      Members.push_back(
+          {Hosts[I].Id, Target.View[I], Hosts[I].SizeClass, Hosts[I].Started});
     Target.Limiter->setMembers(Members, Now);
     pump(Viewer);
   });
@@ -280,6 +281,8 @@
   Target.Running = true;
   Target.PausedUntil = Now;
   ++Target.Run;
+  Target.Started = makeIncarnation(
+      static_cast<std::uint64_t>(seconds(Now.time_since_epoch()) * 1000), 0);
   Target.Limiter = std::make_unique<AccountLimiter>(
       Settings, Target.Id, Hosts.size(), Random(), Now);
   Target.Limiter->setLimits(limits(), Now);
--- a/tests/coordination/account_limit/account_world.hpp
+++ b/tests/coordination/account_limit/account_world.hpp
@@ -70,6 +70,7 @@
     unsigned Part = 0;
     bool Sends = true, Receives = true; //!< To and from other hosts.
     unsigned Run = 0;
+    Incarnation Started;
     std::vector<coordination::FleetMemberStatus> View; //!< By host.
     std::vector<unsigned> ViewChange;             //!< Counts changes under way.
     std::map<std::uint64_t, std::size_t> Waiting; //!< Load by waiter.
