Let hosts hold credit of large accounts in stock

Every request of a limited account waited for a round trip to the owner, up to 40 ms, unless credit was left from a request of the last 200 ms.

A host with two requests of an account within 3 s now asks for 1 to 4 credits in stock, which admit later requests at once. They are valid for 3 s and until the owner changes. The owner counts them as part of its bucket: tokens and stock together are at most the capacity, so that they use nothing of the overage. The stock of an account is at most half of its burst, and is granted only while the bucket is at least half full. After a planned hand-over the new owner counts the largest possible stock for 3 s. Ids of credit requests begin with the start of the process, because the owner ignores lower ids.

The tests over random schedules have an account whose demand changes between 0.6 and 9 times its limit while hosts hold stock; the bounds are unchanged. A test checks the bucket and the stock of each account every second. Unit tests of the exchange that concern no stock use an account without it.

--- a/src/gateway/account_exchange.cpp
+++ b/src/gateway/account_exchange.cpp
@@ -26,8 +26,8 @@
 namespace {
 
 //! First bytes of a datagram: format and kind of the message.
-constexpr std::uint16_t RequestMark = 0xac01;
-constexpr std::uint16_t GrantMark = 0xac02;
+constexpr std::uint16_t RequestMark = 0xac03;
+constexpr std::uint16_t GrantMark = 0xac04;
 //! Time between two log lines about one account.
 constexpr Duration LogPeriod = std::chrono::seconds(1);
 //! Datagrams that a timer handles before it refuses requests.
@@ -37,13 +37,13 @@
 
 template <class Archive> void fields(Archive &Ar, CreditRequest &Message) {
   Ar(Message.Id, Message.Account, Message.Waiting, Message.Ahead,
-     Message.Refused, Message.Members);
+     Message.Refused, Message.Members, Message.Stock, Message.StockWanted);
 }
 
 template <class Archive> void fields(Archive &Ar, CreditGrant &Message) {
   auto Status = static_cast<std::uint8_t>(Message.Status);
   Ar(Message.Id, Message.Account, Message.Granted, Message.RetryAfterMs,
-     Status);
+     Message.Stock, Status);
   if (Status > static_cast<std::uint8_t>(OwnerStatus::NotOwner))
     throw cereal::Exception("unknown status of an owner");
   Message.Status = static_cast<OwnerStatus>(Status);
@@ -422,6 +422,8 @@
     Report("account_credit_granted", Target.Name, Before.Granted,
            Totals->Granted);
     Report("account_refused", Target.Name, Before.Refused, Totals->Refused);
+    Report("account_stock_used", Target.Name, Before.FromStock,
+           Totals->FromStock);
     Report("account_floor_used", Target.Name, Before.Floor, Totals->Floor);
   }
 }
--- a/src/masticgap/coordination/account_limit/account_credit.cpp
+++ b/src/masticgap/coordination/account_limit/account_credit.cpp
@@ -30,6 +30,8 @@
 //! Requests of one account that may wait at a host at the same time.
 constexpr std::size_t MaxWaiting = 512;
 constexpr double MaxAhead = 4096;
+//! Credit in stock that a host may hold of one account.
+constexpr std::uint32_t MaxStockWanted = 4;
 
 double seconds(Duration Time) {
   return std::chrono::duration<double>(Time).count();
@@ -43,8 +45,11 @@
 } // namespace
 
 AccountCredit::AccountCredit(AccountLimitSettings Settings,
-                             const AccountOwners &Owners, std::uint64_t Seed)
-    : Settings(Settings), Owners(Owners), Random(Seed), NextId(Random()) {}
+                             const AccountOwners &Owners, std::uint64_t Seed,
+                             Instant Started)
+    : Settings(Settings), Owners(Owners), Random(Seed),
+      NextId(static_cast<std::uint64_t>(
+          std::chrono::nanoseconds(Started.time_since_epoch()).count())) {}
 
 void AccountCredit::setLimits(std::span<const AccountLimit> Limits,
                               Instant Now) {
@@ -57,8 +62,10 @@
       Target = std::move(Found->second);
       Before.erase(Found);
     }
-    if (Limit != Target.Limit)
+    if (Limit != Target.Limit) {
       Target.HoldUntil = Target.ExpectedAt = Now;
+      Target.Stock.clear();
+    }
     Target.Limit = Limit;
     States.emplace(Limit.Key, std::move(Target));
   }
@@ -71,6 +78,8 @@
 
 void AccountCredit::ownersChanged(Instant Now) {
   for (auto &[Account, Target] : States) {
+    if (!Target.Stock.empty() && Target.StockOwner != Owners.owner(Account))
+      Target.Stock.clear();
     if (Target.NoOwner ||
         (Target.Open && Target.Open->Owner != Owners.owner(Account))) {
       Target.NoOwner = false;
@@ -83,22 +92,49 @@
   }
 }
 
-std::uint32_t AccountCredit::available(State &Target, Instant Now) {
-  std::erase_if(Target.Lots, [&](const Lot &Held) {
+std::uint32_t AccountCredit::available(std::deque<Lot> &Lots, Instant Now) {
+  std::erase_if(Lots, [&](const Lot &Held) {
     return Held.Count == 0 || Held.Expires <= Now;
   });
   std::uint32_t Sum = 0;
-  for (const Lot &Held : Target.Lots)
+  for (const Lot &Held : Lots)
     Sum += Held.Count;
   return Sum;
 }
 
-std::optional<AccountAdmitted> AccountCredit::take(State &Target, Instant Now) {
-  if (available(Target, Now) == 0)
+std::optional<AccountAdmitted> AccountCredit::take(State &Target,
+                                                   Instant Now) const {
+  if (available(Target.Lots, Now) > 0) {
+    Lot &First = Target.Lots.front();
+    --First.Count;
+    return AccountAdmitted{First.Expires, true, false};
+  }
+  if (available(Target.Stock, Now) == 0)
     return std::nullopt;
-  Lot &First = Target.Lots.front();
+  // The owner counts this credit as used from its next message on, so that it
+  // is credit without stock when it is given back.
+  Lot &First = Target.Stock.front();
   --First.Count;
-  return AccountAdmitted{First.Expires, true, false};
+  ++Target.Totals.FromStock;
+  return AccountAdmitted{
+      std::min(First.Expires, Now + Settings.creditValidity()), true, false};
+}
+
+std::uint32_t AccountCredit::stock(AccountKey Account, Instant Now) {
+  const auto Found = States.find(Account);
+  return Found == States.end() ? 0 : available(Found->second.Stock, Now);
+}
+
+std::uint32_t AccountCredit::usefulStock(const State &Target, Instant Now) {
+  const auto IsShort = [](Duration Gap) {
+    return Gap < AccountLimitSettings::StockValidity;
+  };
+  // Credit in stock of a host with rare requests would expire unused.
+  if (!IsShort(Target.LastGap) || !IsShort(Now - Target.DemandAt))
+    return 0;
+  return std::clamp(
+      static_cast<std::uint32_t>(std::min(MaxAhead, Target.Recent)),
+      std::uint32_t{1}, MaxStockWanted);
 }
 
 double AccountCredit::recentRate(const State &Target) const {
@@ -106,9 +142,13 @@
 }
 
 void AccountCredit::recordDemand(State &Target, Instant Now) const {
-  Target.Demand = Target.Demand * std::exp(-seconds(Now - Target.DemandAt) /
-                                           seconds(DemandDecay)) +
-                  1;
+  Target.LastGap = Now - Target.DemandAt;
+  const double Elapsed = seconds(Target.LastGap);
+  Target.Demand = Target.Demand * std::exp(-Elapsed / seconds(DemandDecay)) + 1;
+  Target.Recent =
+      Target.Recent *
+          std::exp(-Elapsed / seconds(AccountLimitSettings::StockValidity)) +
+      1;
   Target.DemandAt = Now;
 }
 
@@ -119,8 +159,11 @@
   State &Target = Found->second;
   recordDemand(Target, Now);
   if (Target.Waiting.empty()) {
+    const std::uint64_t FromStock = Target.Totals.FromStock;
     if (const auto Credit = take(Target, Now)) {
       askAhead(Target, Now);
+      if (Target.Totals.FromStock > FromStock)
+        refillStock(Target, Now);
       return *Credit;
     }
   }
@@ -171,7 +214,7 @@
     return;
   const double Expected =
       std::min(MaxAhead, recentRate(Target) * seconds(AheadTime)) -
-      static_cast<double>(available(Target, Now)) -
+      static_cast<double>(available(Target.Lots, Now)) -
       static_cast<double>(Target.Waiting.size());
   CreditRequest Request;
   Request.Id = NextId++;
@@ -180,7 +223,14 @@
   Request.Ahead = static_cast<std::uint32_t>(std::max(0.0, Expected));
   Request.Refused = std::exchange(Target.Refused, 0);
   Request.Members = static_cast<std::uint32_t>(Owners.knownMembers());
-  Target.Totals.Requested += Request.Waiting + Request.Ahead;
+  Request.Stock = available(Target.Stock, Now);
+  // The decision of this host as the owner needs no message.
+  if (Owner != Owners.self()) {
+    const std::uint32_t Useful = usefulStock(Target, Now);
+    Request.StockWanted = Useful - std::min(Useful, Request.Stock);
+  }
+  Target.Totals.Requested +=
+      Request.Waiting + Request.Ahead + Request.StockWanted;
   Messages.push_back({Owner, Request});
   Target.Open = {Request, Owner, Now, false};
 }
@@ -189,7 +239,16 @@
   const double Rate = recentRate(Target);
   if (Target.Open || Target.NoOwner || Now < Target.HoldUntil ||
       Rate * seconds(AheadTime) < 2 ||
-      available(Target, Now) > Rate * seconds(Settings.RoundTrip))
+      available(Target.Lots, Now) > Rate * seconds(Settings.RoundTrip))
+    return;
+  ask(Target, Now);
+  updateActive(Target);
+}
+
+void AccountCredit::refillStock(State &Target, Instant Now) {
+  // Asking for half of the stock or more at once saves messages.
+  if (Target.Open || Target.NoOwner || Now < Target.HoldUntil ||
+      available(Target.Stock, Now) > usefulStock(Target, Now) / 2)
     return;
   ask(Target, Now);
   updateActive(Target);
@@ -207,12 +266,19 @@
   const OpenRequest Asked = *std::exchange(Target.Open, std::nullopt);
   const std::uint32_t Granted =
       std::min(Grant.Granted, Asked.What.Waiting + Asked.What.Ahead);
-  Target.Totals.Granted += Granted;
+  const std::uint32_t Stock = std::min(Grant.Stock, Asked.What.StockWanted);
+  Target.Totals.Granted += Granted + Stock;
   // The validity counts from the sending of the request, which was before the
   // debit, so that clocks need not agree.
   const Instant Expires = Asked.SentAt + Settings.creditValidity();
   if (Granted > 0 && Expires > Now)
     Target.Lots.push_back({Granted, Expires});
+  const Instant StockExpires =
+      Asked.SentAt + AccountLimitSettings::StockValidity;
+  if (Stock > 0 && StockExpires > Now) {
+    Target.Stock.push_back({Stock, StockExpires});
+    Target.StockOwner = From;
+  }
   serveWaiting(Target, Now);
   const bool Short = Granted < Asked.What.Waiting;
   if (!Short || Grant.Status == OwnerStatus::Owner)
--- a/src/masticgap/coordination/account_limit/account_credit.hpp
+++ b/src/masticgap/coordination/account_limit/account_credit.hpp
@@ -17,9 +17,11 @@
 //! Credit that this host holds for accounts, and the requests that wait for it.
 class AccountCredit {
 public:
-  //! \param Seed for the ids of credit requests and for the floor.
+  //! \param Seed for the floor.
+  //! \param Started start of the process. The ids of credit requests begin with
+  //! it, so that they are higher than those of an earlier process of this host.
   AccountCredit(AccountLimitSettings Settings, const AccountOwners &Owners,
-                std::uint64_t Seed);
+                std::uint64_t Seed, Instant Started);
 
   //! Sets the accounts that have a limit. Requests that wait for another
   //! account are admitted.
@@ -55,6 +57,8 @@
   takeDecision(std::uint64_t Waiter);
   //! Returns the totals of an account; null if it has no limit.
   const AccountCounters *counters(AccountKey Account) const;
+  //! Returns the credit in stock.
+  std::uint32_t stock(AccountKey Account, Instant Now);
 
 private:
   struct Lot {
@@ -76,9 +80,13 @@
   struct State {
     AccountLimit Limit;
     std::deque<Lot> Lots;
+    std::deque<Lot> Stock;
+    HostId StockOwner; //!< That granted the stock.
+    double Recent = 0; //!< Decaying number of requests of some seconds.
     std::deque<Waiter> Waiting;
     double Demand = 0; //!< Decaying number of recent requests.
     Instant DemandAt;
+    Duration LastGap{0}; //!< Between the last two requests.
     std::optional<OpenRequest> Open;
     Instant HoldUntil;         //!< New requests are refused until then.
     Instant ExpectedAt;        //!< When the owner expects to have credit.
@@ -88,8 +96,11 @@
     AccountCounters Totals;
   };
 
-  static std::uint32_t available(State &Target, Instant Now);
-  static std::optional<AccountAdmitted> take(State &Target, Instant Now);
+  static std::uint32_t available(std::deque<Lot> &Lots, Instant Now);
+  std::optional<AccountAdmitted> take(State &Target, Instant Now) const;
+  //! Returns the credit in stock that will probably be used.
+  static std::uint32_t usefulStock(const State &Target, Instant Now);
+  void refillStock(State &Target, Instant Now);
   double recentRate(const State &Target) const;
   void recordDemand(State &Target, Instant Now) const;
   void ask(State &Target, Instant Now);
--- a/src/masticgap/coordination/account_limit/account_limit.hpp
+++ b/src/masticgap/coordination/account_limit/account_limit.hpp
@@ -69,6 +69,12 @@
   //! Credit that the owner's bucket stores in addition to the burst, so that
   //! the varying delays of requests do not exceed a small burst.
   double storedSlack() const { return StoredSlackShare * Slack; }
+  //! Validity of credit in stock, from the sending of its request.
+  static constexpr Duration StockValidity = std::chrono::seconds(3);
+  //! Returns the largest credit in stock of an account over all hosts.
+  static double maxStock(const AccountLimit &Limit) {
+    return MaxStockShare * Limit.Burst;
+  }
   //! Credit that a new owner may grant at once.
   double initialCredit() const { return InitialShare * Slack; }
 
@@ -83,6 +89,8 @@
   static constexpr double InitialShare = 0.15;
   static constexpr double StoredSlackShare = 0.25;
   static constexpr double MaxOverage = 0.4;
+  // Of the burst: the other half remains for hosts without stock.
+  static constexpr double MaxStockShare = 0.5;
 
   double usedOverage() const { return std::min(Overage, MaxOverage); }
   Duration overageTime(double Share) const {
@@ -99,6 +107,8 @@
   std::uint32_t Ahead = 0;   //!< Expected soon.
   std::uint32_t Refused = 0; //!< Refused here since the last credit request.
   std::uint32_t Members = 0; //!< Members that the sender knows.
+  std::uint32_t Stock = 0;   //!< Credit in stock that the sender still holds.
+  std::uint32_t StockWanted = 0; //!< In addition.
 
   friend bool operator==(const CreditRequest &,
                          const CreditRequest &) = default;
@@ -117,6 +127,7 @@
   AccountKey Account = 0;
   std::uint32_t Granted = 0;
   std::uint32_t RetryAfterMs = 0; //!< When credit is expected again.
+  std::uint32_t Stock = 0;        //!< Credit in stock, in addition to Granted.
   OwnerStatus Status = OwnerStatus::Owner;
 
   friend bool operator==(const CreditGrant &, const CreditGrant &) = default;
@@ -162,6 +173,14 @@
   std::uint64_t Granted = 0;   //!< Credit received.
   std::uint64_t Refused = 0;   //!< Requests of callers over the limit.
   std::uint64_t Floor = 0;     //!< Requests admitted without an owner.
+  std::uint64_t FromStock = 0; //!< Requests admitted with credit in stock.
+};
+
+//! State of an account at its owner.
+struct AccountBucket {
+  double Tokens = 0;
+  double Stock = 0; //!< Counted as in stock at hosts.
+  double Capacity = 0;
 };
 
 } // namespace masticgap::coordination
--- a/src/masticgap/coordination/account_limit/account_limiter.cpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.cpp
@@ -20,7 +20,7 @@
                                std::size_t MinMembers, std::uint64_t Seed,
                                Instant Started)
     : Settings(Settings), Owners(Settings, std::move(Self), MinMembers),
-      Owned(Settings, Owners, Started), Credit(Settings, Owners, Seed),
+      Owned(Settings, Owners, Started), Credit(Settings, Owners, Seed, Started),
       LastHeartbeat(Started), LastContact(Started), RestartedAt(Started) {}
 
 void AccountLimiter::heartbeat(Instant Now) {
@@ -85,10 +85,12 @@
 void AccountLimiter::handle(const HostId &From, const AccountMessage &Message,
                             Instant Now) {
   recordContact(Now);
-  if (const auto *Request = std::get_if<CreditRequest>(&Message))
-    Messages.push_back({From, Owned.handle(From, *Request, Now)});
-  else
+  if (const auto *Request = std::get_if<CreditRequest>(&Message)) {
+    if (const auto Grant = Owned.handle(From, *Request, Now))
+      Messages.push_back({From, *Grant});
+  } else {
     Credit.handle(From, std::get<CreditGrant>(Message), Now);
+  }
   route(Now);
 }
 
@@ -111,8 +113,8 @@
         continue;
       }
       const auto &Request = std::get<CreditRequest>(Message.What);
-      Credit.handle(Owners.self(), Owned.handle(Owners.self(), Request, Now),
-                    Now);
+      if (const auto Grant = Owned.handle(Owners.self(), Request, Now))
+        Credit.handle(Owners.self(), *Grant, Now);
     }
   }
 }
--- a/src/masticgap/coordination/account_limit/account_limiter.hpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.hpp
@@ -61,6 +61,14 @@
   const AccountCounters *counters(AccountKey Account) const {
     return Credit.counters(Account);
   }
+  //! Returns the credit that this host holds in stock.
+  std::uint32_t stock(AccountKey Account, Instant Now) {
+    return Credit.stock(Account, Now);
+  }
+  //! Returns the bucket of an account; nothing if this host does not own it.
+  std::optional<AccountBucket> bucket(AccountKey Account, Instant Now) {
+    return Owned.bucket(Account, Now);
+  }
   std::span<const AccountLimit> limits() const { return Limits; }
   const AccountLimitSettings &settings() const { return Settings; }
   //! Returns the owner of an account as seen from here; empty if there is none.
--- a/src/masticgap/coordination/account_limit/account_owner.cpp
+++ b/src/masticgap/coordination/account_limit/account_owner.cpp
@@ -1,5 +1,6 @@
 #include "masticgap/coordination/account_limit/account_owner.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace masticgap::coordination {
@@ -9,6 +10,11 @@
 //! Answers are kept for a retransmission, which follows within a round trip.
 constexpr Duration AnswerMemory = std::chrono::milliseconds(500);
 constexpr std::size_t MaxAnswers = 4096;
+//! Largest grant of credit in stock to a host.
+constexpr std::uint32_t MaxStockGrant = 4;
+//! Expired credit in stock is counted for this time longer at most, which saves
+//! processor time.
+constexpr Duration HeldCheckInterval = std::chrono::milliseconds(100);
 //! Refused requests count as returning for about this time.
 constexpr Duration RefusalDecay = std::chrono::seconds(1);
 //! A host asks the account's next owner after this time.
@@ -38,7 +44,81 @@
     Target.Tokens +=
         Target.Limit.RatePerSecond * Owners.share(Now) * seconds(Now - From);
   Target.FilledAt = Now;
-  Target.Tokens = std::min(Target.Tokens, capacity(Target, Now));
+  Target.Tokens = std::min(Target.Tokens, maxTokens(Target, Now));
+}
+
+double AccountOwner::stock(Bucket &Target, Instant Now) {
+  if (Now - Target.HeldCheckedAt >= HeldCheckInterval) {
+    Target.HeldCheckedAt = Now;
+    std::erase_if(Target.Held,
+                  [&](const auto &Entry) { return Entry.second.Until <= Now; });
+  }
+  double Sum = Now < Target.InheritedUntil ? Target.Inherited : 0;
+  for (const auto &[Host, Held] : Target.Held)
+    Sum += Held.Count;
+  return Sum;
+}
+
+double AccountOwner::maxTokens(Bucket &Target, Instant Now) {
+  return std::max(0.0, capacity(Target, Now) - stock(Target, Now));
+}
+
+bool AccountOwner::isOutdated(const HostId &From,
+                              const CreditRequest &Request) const {
+  const auto Target = Buckets.find(Request.Account);
+  if (Target == Buckets.end())
+    return false;
+  const auto Held = Target->second.Held.find(From);
+  return Held != Target->second.Held.end() && Request.Id < Held->second.LastId;
+}
+
+void AccountOwner::recordStock(Bucket &Target, const HostId &From,
+                               const CreditRequest &Request, Instant Now) {
+  const auto Known = Target.Held.find(From);
+  if (Known == Target.Held.end()) {
+    // This process may have started after another one had granted the stock.
+    if (Request.Stock > 0)
+      Target.Held.emplace(From,
+                          HeldStock{Request.Stock,
+                                    Now + AccountLimitSettings::StockValidity,
+                                    Request.Id});
+    return;
+  }
+  HeldStock &Held = Known->second;
+  if (Request.Stock > Held.Count)
+    Held.Until = Now + AccountLimitSettings::StockValidity;
+  // The answer to a repeated request may already have been sent.
+  if (Request.Id != Held.LastId)
+    Held.Count = Request.Stock;
+  Held.LastId = Request.Id;
+}
+
+std::uint32_t AccountOwner::grantStock(Bucket &Target, const HostId &From,
+                                       const CreditRequest &Request,
+                                       Instant Now) {
+  const auto Known = Target.Held.find(From);
+  const std::size_t IsNew = Known == Target.Held.end() ? 1 : 0;
+  const bool Repeated = IsNew == 0 && Known->second.LastId == Request.Id &&
+                        Known->second.Count != Request.Stock;
+  if (Request.StockWanted == 0 || Repeated || From == Owners.self() ||
+      Now < servesFrom(Target) || Target.Tokens < capacity(Target, Now) / 2)
+    return 0;
+  const double Largest =
+      AccountLimitSettings::maxStock(Target.Limit) * Owners.share(Now);
+  // Hosts that held stock recently get equal parts, or a few would hold all.
+  const double Part =
+      std::max(1.0, Largest / static_cast<double>(Target.Held.size() + IsNew));
+  const double Count = std::floor(std::min(
+      {static_cast<double>(std::min(Request.StockWanted, MaxStockGrant)),
+       Part - Request.Stock, Largest - stock(Target, Now), Target.Tokens}));
+  if (Count < 1)
+    return 0;
+  Target.Tokens -= Count;
+  HeldStock &Held = Target.Held[From];
+  Held.Count += static_cast<std::uint32_t>(Count);
+  Held.Until = Now + AccountLimitSettings::StockValidity;
+  Held.LastId = Request.Id;
+  return static_cast<std::uint32_t>(Count);
 }
 
 Instant AccountOwner::servesFrom(const Bucket &Target) const {
@@ -55,7 +135,7 @@
     return;
   Target.InitialAt = Now;
   Target.Tokens = std::min(Settings.initialCredit() * Owners.share(Now),
-                           capacity(Target, Now));
+                           maxTokens(Target, Now));
 }
 
 void AccountOwner::update(std::span<const AccountLimit> Limits, Instant Now) {
@@ -84,9 +164,15 @@
         const bool HasStopped =
             !Target.Owner.empty() && (Previous == FleetMemberStatus::Stopping ||
                                       Previous == FleetMemberStatus::Left);
+        if (HasStopped) {
+          Target.Inherited =
+              AccountLimitSettings::maxStock(Limit) * Owners.share(Now);
+          Target.InheritedUntil = Now + AccountLimitSettings::StockValidity;
+        }
         begin(Target, Now, !HasStopped, Now);
       }
-      Target.Tokens = Here ? std::min(Target.Tokens, capacity(Target, Now)) : 0;
+      Target.Tokens =
+          Here ? std::min(Target.Tokens, maxTokens(Target, Now)) : 0;
     }
     Target.Owner = Owner;
     Buckets.emplace(Limit.Key, std::move(Target));
@@ -111,7 +197,8 @@
              std::chrono::duration<double>(Wait));
 }
 
-CreditGrant AccountOwner::decide(const CreditRequest &Request, Instant Now) {
+CreditGrant AccountOwner::decide(const HostId &From,
+                                 const CreditRequest &Request, Instant Now) {
   CreditGrant Result;
   Result.Id = Request.Id;
   Result.Account = Request.Account;
@@ -122,6 +209,7 @@
     return Result;
   }
   Bucket &Target = Found->second;
+  recordStock(Target, From, Request, Now);
   fill(Target, Now);
   if (Now < servesFrom(Target))
     Result.Status = OwnerStatus::Starting;
@@ -129,6 +217,7 @@
   const std::uint64_t Wanted = std::uint64_t{Request.Waiting} + Request.Ahead;
   Result.Granted = static_cast<std::uint32_t>(std::min(Available, Wanted));
   Target.Tokens -= Result.Granted;
+  Result.Stock = grantStock(Target, From, Request, Now);
   Target.Refused *=
       std::exp(-seconds(Now - Target.RefusedAt) / seconds(RefusalDecay));
   Target.RefusedAt = Now;
@@ -141,15 +230,18 @@
   return Result;
 }
 
-CreditGrant AccountOwner::handle(const HostId &From,
-                                 const CreditRequest &Request, Instant Now) {
+std::optional<CreditGrant> AccountOwner::handle(const HostId &From,
+                                                const CreditRequest &Request,
+                                                Instant Now) {
   forgetAnswers(Now);
   AnswerKey Key(From, Request.Id);
   const auto Known = Answers.find(Key);
   if (Known != Answers.end())
     return Known->second.Grant;
+  if (isOutdated(From, Request))
+    return std::nullopt;
   Owners.recordKnownByPeer(Request.Members, Now);
-  const CreditGrant Grant = decide(Request, Now);
+  const CreditGrant Grant = decide(From, Request, Now);
   if (From != Owners.self()) {
     AnswerOrder.emplace_back(Now, Key);
     Answers.emplace(std::move(Key), Answered{Grant, Now});
@@ -157,6 +249,17 @@
   return Grant;
 }
 
+std::optional<AccountBucket> AccountOwner::bucket(AccountKey Account,
+                                                  Instant Now) {
+  const auto Found = Buckets.find(Account);
+  if (Found == Buckets.end() || !Owners.isOwnedHere(Account))
+    return std::nullopt;
+  Bucket &Target = Found->second;
+  fill(Target, Now);
+  return AccountBucket{Target.Tokens, stock(Target, Now),
+                       capacity(Target, Now)};
+}
+
 void AccountOwner::forgetAnswers(Instant Now) {
   while (!AnswerOrder.empty() &&
          (AnswerOrder.front().first + AnswerMemory <= Now ||
--- a/src/masticgap/coordination/account_limit/account_owner.hpp
+++ b/src/masticgap/coordination/account_limit/account_owner.hpp
@@ -30,10 +30,20 @@
 
   //! Answers a credit request.
   //! \param From host that sent it.
-  CreditGrant handle(const HostId &From, const CreditRequest &Request,
-                     Instant Now);
+  //! \returns nothing if a later request of the host was handled before.
+  std::optional<CreditGrant> handle(const HostId &From,
+                                    const CreditRequest &Request, Instant Now);
+
+  //! Returns the bucket of an account; nothing if this host does not own it.
+  std::optional<AccountBucket> bucket(AccountKey Account, Instant Now);
 
 private:
+  //! Credit in stock at one host.
+  struct HeldStock {
+    std::uint32_t Count = 0;
+    Instant Until;            //!< Not used after this time.
+    std::uint64_t LastId = 0; //!< Of the host's requests.
+  };
   struct Bucket {
     AccountLimit Limit;
     HostId Owner;    //!< As last known.
@@ -45,6 +55,11 @@
     std::optional<Instant> InitialAt; //!< Last initial credit.
     double Refused = 0;               //!< Decaying number of refusals.
     Instant RefusedAt;
+    std::map<HostId, HeldStock> Held;
+    Instant HeldCheckedAt;
+    //! Largest stock that a predecessor in a planned stop may have granted.
+    double Inherited = 0;
+    Instant InheritedUntil;
   };
   struct Answered {
     CreditGrant Grant;
@@ -57,7 +72,18 @@
   //! Returns when the bucket begins to fill.
   Instant servesFrom(const Bucket &Target) const;
   void begin(Bucket &Target, Instant BeganAt, bool Settles, Instant Now);
-  CreditGrant decide(const CreditRequest &Request, Instant Now);
+  CreditGrant decide(const HostId &From, const CreditRequest &Request,
+                     Instant Now);
+  //! Returns the credit that hosts may hold in stock. Expired credit may be
+  //! counted for a little longer.
+  double stock(Bucket &Target, Instant Now);
+  //! Returns the most tokens that the bucket may have beside the stock.
+  double maxTokens(Bucket &Target, Instant Now);
+  bool isOutdated(const HostId &From, const CreditRequest &Request) const;
+  void recordStock(Bucket &Target, const HostId &From,
+                   const CreditRequest &Request, Instant Now);
+  std::uint32_t grantStock(Bucket &Target, const HostId &From,
+                           const CreditRequest &Request, Instant Now);
   Duration untilCredit(Bucket &Target, double Refused, Instant Now);
   void forgetAnswers(Instant Now);
 
--- a/tests/coordination/account_limit/account_limit.tests.cpp
+++ b/tests/coordination/account_limit/account_limit.tests.cpp
@@ -27,7 +27,8 @@
 
 //! Two hosts, of which the one named owns the account "a".
 struct Pair {
-  explicit Pair(double Rate = 10, double Burst = 5)
+  //! With the default burst, hosts get no credit in stock.
+  explicit Pair(double Rate = 10, double Burst = 1)
       : Limit(limitOf("a", Rate, Burst)) {
     const AccountLimit All[] = {Limit};
     for (AccountLimiter *Host : {&One, &Two}) {
@@ -77,6 +78,14 @@
     return Asking->takeDecisions();
   }
 
+  //! Two requests, after which the asking host wants credit in stock.
+  void fetchStock() {
+    for (int I = 0; I < 2; ++I) {
+      (void)Asking->admit(Limit.Key, Now);
+      CHECK(exchange().size() == 1);
+    }
+  }
+
   AccountLimitSettings Settings;
   AccountLimit Limit;
   std::vector<FleetMember> Members{{HostId("h1")}, {HostId("h2")}};
@@ -317,6 +326,67 @@
     Spend();
     CHECK(Admissions >= 100);
   }
+  SUBCASE("credit in stock admits at once, for three seconds") {
+    Pair Hosts(100, 50);
+    Hosts.fetchStock();
+    CHECK(Hosts.Asking->stock(Hosts.Limit.Key, Hosts.Now) == 2);
+    for (int I = 0; I < 29; ++I) {
+      Hosts.Now += 100ms;
+      Hosts.heartbeat();
+    }
+    CHECK(Hosts.admitsNow(Hosts.Now));
+    CHECK(Hosts.admitsNow(Hosts.Now));
+    const auto Refill =
+        std::get<CreditRequest>(Hosts.onlyMessage(*Hosts.Asking));
+    CHECK(Refill.Waiting == 0);
+    CHECK(Refill.Stock == 0);
+    CHECK(Refill.StockWanted == 2);
+    Hosts.Owner->handle(Hosts.AskingId, Refill, Hosts.Now);
+    (void)Hosts.exchange();
+    CHECK(Hosts.Asking->stock(Hosts.Limit.Key, Hosts.Now) == 2);
+    CHECK(Hosts.Asking->stock(Hosts.Limit.Key, Hosts.Now + 3s) == 0);
+  }
+  SUBCASE("credit in stock ends with the owner, and its successor counts it") {
+    Pair Hosts(100, 50);
+    Hosts.fetchStock();
+    for (FleetMember &Member : Hosts.Members)
+      if (Member.Host == Hosts.OwnerId)
+        Member.Status = FleetMemberStatus::Stopping;
+    Hosts.Asking->setMembers(Hosts.Members, Hosts.Now);
+    CHECK(Hosts.Asking->stock(Hosts.Limit.Key, Hosts.Now) == 0);
+    for (int I = 0; I < 8; ++I) {
+      const auto Bucket = Hosts.Asking->bucket(Hosts.Limit.Key, Hosts.Now);
+      REQUIRE(Bucket);
+      CHECK(Bucket->Stock == (I < 6 ? 25 : 0));
+      CHECK(Bucket->Tokens + Bucket->Stock <= Bucket->Capacity);
+      Hosts.Now += 500ms;
+      Hosts.heartbeat();
+    }
+  }
+  SUBCASE("an owner grants half of the burst as stock, from a full bucket") {
+    Pair Hosts(100, 50);
+    const auto Ask = [&](std::uint64_t Host, std::uint64_t Id,
+                         std::uint32_t Waiting) {
+      CreditRequest Request{Id, Hosts.Limit.Key, Waiting, 0, 0, 2, 0, 9};
+      Hosts.Owner->handle(HostId("x" + std::to_string(Host)), Request,
+                          Hosts.Now);
+      const auto Grants = Hosts.Owner->takeMessages();
+      const auto Bucket = Hosts.Owner->bucket(Hosts.Limit.Key, Hosts.Now);
+      CHECK(Bucket->Tokens + Bucket->Stock <= Bucket->Capacity + 1e-9);
+      return Grants.empty() ? std::optional<std::uint32_t>()
+                            : std::get<CreditGrant>(Grants[0].What).Stock;
+    };
+    std::uint32_t Sum = 0;
+    for (std::uint64_t Host = 0; Host < 40; ++Host)
+      Sum += *Ask(Host, 100, 0);
+    CHECK(Sum == 25);
+    CHECK_FALSE(Ask(0, 99, 0));  // Sent before the request that was handled.
+    CHECK(*Ask(0, 101, 0) == 3); // The host states that it holds none.
+    Hosts.Now += 3s;
+    Hosts.heartbeat();
+    CHECK(*Ask(1, 200, 40) == 0);
+    CHECK(*Ask(2, 200, 0) == 0); // The bucket is less than half full.
+  }
   SUBCASE("accounts without a limit need no credit") {
     Pair Hosts;
     const auto Answer = Hosts.Asking->admit(accountKey("free"), Hosts.Now);
@@ -334,11 +404,12 @@
     double Loss;
     std::size_t Hosts; //!< That receive the requests of the accounts.
     double MinServed;  //!< Of accounts below their limit.
+    double MaxWaited;  //!< Share of the requests of the account "stock".
   };
-  const Case Cases[] = {{"callers at all hosts", 0, 36, 0.98},
-                        {"callers at six hosts", 0, 6, 0.98},
-                        {"callers at one host", 0, 1, 0.98},
-                        {"lost datagrams", 0.01, 36, 0.98}};
+  const Case Cases[] = {{"callers at all hosts", 0, 36, 0.98, 0.2},
+                        {"callers at six hosts", 0, 6, 0.98, 0.2},
+                        {"callers at one host", 0, 1, 0.98, 0.2},
+                        {"lost datagrams", 0.01, 36, 0.98, 0.2}};
   for (const Case &C : Cases) {
     CAPTURE(C.Name);
     std::vector<AccountLoad> Loads{
@@ -346,12 +417,17 @@
         {limitOf("near", 50, 25), 40, 0, C.Hosts},
         {limitOf("half", 20, 10), 10, 0, C.Hosts},
         {limitOf("small", 2, 4), 1, 0, C.Hosts},
-        {limitOf("no burst", 100, 0), 800, 0, C.Hosts}};
+        {limitOf("no burst", 100, 0), 800, 0, C.Hosts},
+        {limitOf("stock", 100, 100), 60, 0, C.Hosts}};
     AccountWorld World(36, Loads, 7);
     World.setLoss(C.Loss);
     World.run(20s);
     World.resetTotals();
-    World.run(120s);
+    for (int Step = 0; Step < 120; ++Step) {
+      World.run(1s);
+      for (std::size_t I = 0; I < Loads.size(); ++I)
+        CHECK(World.holdsBucket(I));
+    }
     for (std::size_t I = 0; I < Loads.size(); ++I) {
       CAPTURE(I);
       const auto &Total = World.totals(I);
@@ -362,6 +438,8 @@
       else
         CHECK(Total.Served >= 0.98 * 120 * Loads[I].Limit.RatePerSecond);
     }
+    const auto &Total = World.totals(Loads.size() - 1);
+    CHECK(Total.Waited <= C.MaxWaited * Total.Served);
   }
 }
 
@@ -375,7 +453,8 @@
                                        {limitOf("b", 60, 0), 300, 0, Count},
                                        {limitOf("c", 10, 60), 80, 0, 8},
                                        {limitOf("d", 3, 3), 24, 0, Count},
-                                       {limitOf("e", 20, 10), 10, 0, Count}};
+                                       {limitOf("e", 20, 10), 10, 0, Count},
+                                       {limitOf("f", 100, 100), 60, 0, Count}};
         AccountWorld World(Count, Loads, Seed);
         std::mt19937_64 Random(Seed);
         // On half of the seeds, a few large hosts own the accounts.
@@ -416,6 +495,8 @@
             World.setLimit(1, limitOf("b", double(20 + Random() % 80),
                                       double(Random() % 40)));
           }
+          // Below its limit the account has credit in stock at many hosts.
+          World.setDemand(5, Random() % 2 == 0 ? 60 : 900);
           World.run(std::chrono::milliseconds(500 + Random() % 6000));
         }
         World.cut([](std::size_t) { return 0U; });
@@ -455,9 +536,11 @@
           const auto Direction = Random() % 3;
           for (const std::size_t Host : Isolated)
             World.isolate(Host, Direction == 1, Direction == 2);
+          World.setDemand(3, Random() % 2 == 0 ? 60 : 900);
           World.run(std::chrono::milliseconds(2000 + Random() % 13000));
           for (const std::size_t Host : Isolated)
             World.isolate(Host, true, true);
+          World.setDemand(3, Random() % 2 == 0 ? 60 : 900);
           World.run(std::chrono::milliseconds(500 + Random() % 12000));
         }
         for (std::size_t I = 0; I < Loads.size(); ++I) {
--- a/tests/coordination/account_limit/account_world.cpp
+++ b/tests/coordination/account_limit/account_world.cpp
@@ -109,9 +109,10 @@
         Target.Limiter->admit(Loads[Load].Limit.Key, Now);
     if (std::holds_alternative<AccountAdmitted>(Answer))
       admitted(Load);
-    else if (const auto *Waits = std::get_if<AwaitCredit>(&Answer))
+    else if (const auto *Waits = std::get_if<AwaitCredit>(&Answer)) {
+      ++Results[Load].Waited;
       Target.Waiting.emplace(Waits->Waiter, Load);
-    else
+    } else
       ++Results[Load].Refused;
     pump(Index);
   });
@@ -369,6 +370,16 @@
              : static_cast<std::size_t>(std::stoul(Owner.value().substr(1)));
 }
 
+bool AccountWorld::holdsBucket(std::size_t Load) {
+  const AccountLimit &Limit = Loads[Load].Limit;
+  double Stock = 0;
+  for (Host &Each : Hosts)
+    Stock += Each.Limiter->stock(Limit.Key, Now);
+  const auto Bucket = Hosts[owner(Load)].Limiter->bucket(Limit.Key, Now);
+  return Bucket && Stock <= AccountLimitSettings::maxStock(Limit) &&
+         Bucket->Tokens + Stock <= Bucket->Capacity + 1e-9;
+}
+
 void AccountWorld::setLimit(std::size_t Load, AccountLimit Limit) {
   const AccountLimit Old = std::exchange(Loads[Load].Limit, Limit);
   // A lower limit is binding one window, and the time until all hosts have the
--- a/tests/coordination/account_limit/account_world.hpp
+++ b/tests/coordination/account_limit/account_world.hpp
@@ -29,7 +29,7 @@
   using AccountAdmitted = coordination::AccountAdmitted;
 
   struct Totals {
-    unsigned Requests = 0, Served = 0, Refused = 0;
+    unsigned Requests = 0, Served = 0, Refused = 0, Waited = 0;
     double LargestExcess = -1e9; //!< Arrivals in a window above the bound.
   };
 
@@ -51,6 +51,13 @@
   //! Returns the owner of an account as seen from a running host.
   std::size_t owner(std::size_t Load) const;
   void setLimit(std::size_t Load, coordination::AccountLimit Limit);
+  void setDemand(std::size_t Load, double RequestsPerSecond) {
+    Loads[Load].RequestsPerSecond = RequestsPerSecond;
+  }
+  //! Returns whether the tokens of an account and its credit in stock at all
+  //! hosts are at most the capacity of the bucket, and the stock at most half
+  //! of the burst.
+  bool holdsBucket(std::size_t Load);
   void setLoss(double Share) { Loss = Share; }
   void resetTotals();
 
--- a/tests/gateway/account_exchange.tests.cpp
+++ b/tests/gateway/account_exchange.tests.cpp
@@ -68,8 +68,8 @@
 // credit.
 TEST_CASE("messages of the account exchange are decoded only as a whole") {
   const AccountMessage Messages[] = {
-      CreditRequest{7, 0xffffffffffffffff, 1, 2, 3, 4},
-      CreditGrant{9, 5, 6, 0xffffffff, OwnerStatus::NotOwner}};
+      CreditRequest{7, 0xffffffffffffffff, 1, 2, 3, 4, 5, 6},
+      CreditGrant{9, 5, 6, 0xffffffff, 7, OwnerStatus::NotOwner}};
   for (const AccountMessage &Message : Messages) {
     const std::string Bytes = encodeAccountMessage(Message);
     CHECK(Bytes.size() <= MaxAccountDatagramBytes);
