Apply changed quota bounds on a reload

quota_window, quota_overage and quota_slack were read at the start only, so that a change took a restart of each gateway. A reload now passes them to the limits of accounts. Buckets are cut to the new capacity at once; credit that was granted before stays valid.

A decision test covers the change; the reload of the daemon itself has no test of its own.

--- a/src/gateway/account_exchange.cpp
+++ b/src/gateway/account_exchange.cpp
@@ -323,6 +323,15 @@
   });
 }
 
+void AccountExchange::settingsChanged() {
+  // The periods of gossip are those of the start.
+  const Duration GossipPeriod = Limits.GossipPeriod;
+  Limits = limitSettings(Settings);
+  Limits.GossipPeriod = GossipPeriod;
+  if (Limiter)
+    Limiter->setSettings(Limits, transport::now());
+}
+
 void AccountExchange::tick() {
   if (!Limiter)
     return;
--- a/src/gateway/account_exchange.hpp
+++ b/src/gateway/account_exchange.hpp
@@ -58,6 +58,8 @@
   void messageReceived(bool SaysDead);
   //! Takes over the limits of a configuration.
   void adopt(const TrafficConfig &Config);
+  //! Applies the bounds of changed settings.
+  void settingsChanged();
   //! To be called every AccountLimiter::HeartbeatPeriod.
   void tick();
   //! Closes the socket.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -462,6 +462,7 @@
     New.Host = Settings.Host;
   }
   Settings = std::move(New);
+  State.AccountLimits.settingsChanged();
   State.Log.write(
       LogClass::Decision, "reloaded",
       {{"seeds", static_cast<std::uint64_t>(Settings.Seeds.size())}});
--- a/src/masticgap/coordination/account_limit/account_credit.hpp
+++ b/src/masticgap/coordination/account_limit/account_credit.hpp
@@ -23,6 +23,7 @@
   AccountCredit(AccountLimitSettings Settings, const AccountOwners &Owners,
                 std::uint64_t Seed, Instant Started);
 
+  void setSettings(const AccountLimitSettings &New) { Settings = New; }
   //! Sets the accounts that have a limit. Requests that wait for another
   //! account are admitted.
   void setLimits(std::span<const AccountLimit> Limits, Instant Now);
--- a/src/masticgap/coordination/account_limit/account_limiter.cpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.cpp
@@ -54,6 +54,14 @@
   LastContact = Now;
 }
 
+void AccountLimiter::setSettings(const AccountLimitSettings &New, Instant Now) {
+  Settings = New;
+  Owners.setSettings(New);
+  Owned.setSettings(New);
+  Credit.setSettings(New);
+  Owned.update(Limits, Now);
+}
+
 void AccountLimiter::setLimits(std::vector<AccountLimit> New, Instant Now) {
   Limits = std::move(New);
   Owners.setAccounts(Limits);
--- a/src/masticgap/coordination/account_limit/account_limiter.hpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.hpp
@@ -30,6 +30,8 @@
   //! Records a message of a member that regards this host as dead.
   void recordDeclaredDead(Instant Now) { Owned.restart(Now); }
 
+  //! Applies changed bounds. Credit that was granted before stays valid.
+  void setSettings(const AccountLimitSettings &New, Instant Now);
   //! Sets the accounts that have a limit. Others are unlimited.
   void setLimits(std::vector<AccountLimit> New, Instant Now);
   //! Sets all members, including this host, dead ones and ones that left.
--- a/src/masticgap/coordination/account_limit/account_owner.hpp
+++ b/src/masticgap/coordination/account_limit/account_owner.hpp
@@ -25,6 +25,9 @@
   //! \param Limits all accounts that have a limit.
   void update(std::span<const AccountLimit> Limits, Instant Now);
 
+  //! Call update() after it.
+  void setSettings(const AccountLimitSettings &New) { Settings = New; }
+
   //! Empties the buckets, which fill again after the settle time.
   void restart(Instant Now);
 
--- a/src/masticgap/coordination/account_limit/account_owners.hpp
+++ b/src/masticgap/coordination/account_limit/account_owners.hpp
@@ -37,6 +37,7 @@
   AccountOwners(AccountLimitSettings Settings, HostId Self,
                 std::size_t MinMembers);
 
+  void setSettings(const AccountLimitSettings &New) { Settings = New; }
   //! Sets the accounts that have a limit.
   void setAccounts(std::span<const AccountLimit> Limits);
   //! Sets all members, including this host, dead ones and ones that left.
--- a/tests/coordination/account_limit/account_limit.tests.cpp
+++ b/tests/coordination/account_limit/account_limit.tests.cpp
@@ -387,6 +387,22 @@
     CHECK(*Ask(1, 200, 40) == 0);
     CHECK(*Ask(2, 200, 0) == 0); // The bucket is less than half full.
   }
+  SUBCASE("changed bounds are applied at once") {
+    Pair Hosts(100, 50);
+    AccountLimitSettings Settings = Hosts.Settings;
+    Settings.Overage = 0.02;
+    Settings.Slack = 4;
+    for (AccountLimiter *Host : {&Hosts.One, &Hosts.Two})
+      Host->setSettings(Settings, Hosts.Now);
+    const auto Bucket = Hosts.Owner->bucket(Hosts.Limit.Key, Hosts.Now);
+    REQUIRE(Bucket);
+    CHECK(Bucket->Capacity == doctest::Approx(50 + 1 + 2));
+    CHECK(Bucket->Tokens <= Bucket->Capacity);
+    (void)Hosts.Asking->admit(Hosts.Limit.Key, Hosts.Now);
+    Hosts.Now += Settings.creditValidity();
+    Hosts.Asking->advance(Hosts.Now);
+    CHECK(Hosts.Asking->takeDecisions().size() == 1);
+  }
   SUBCASE("accounts without a limit need no credit") {
     Pair Hosts;
     const auto Answer = Hosts.Asking->admit(accountKey("free"), Hosts.Now);
