Grant credit soon after a start of all hosts

After a power failure of all hosts each owner of accounts waited for the settle time (5.7 s at 143 hosts) for a predecessor that may still grant credit, and used the smallest share of live members of that time, which is that of a view with one host.

Hosts that all started within 5 s have no predecessor. Their owners now grant credit once the members have not changed for two gossip periods, by the current share.

One host that was not restarted keeps the settle time.

--- a/src/masticgap/coordination/account_limit/account_owners.cpp
+++ b/src/masticgap/coordination/account_limit/account_owners.cpp
@@ -21,6 +21,9 @@
 //! Processes that start within this time of each other belong to one start of
 //! the fleet; clocks may differ by less.
 constexpr std::uint64_t MaxStartSpreadMs = 5000;
+//! Time after the start in which the members that were not known yet do not
+//! reduce the share.
+constexpr Duration StartPhase = std::chrono::seconds(10);
 
 //! Returns the start of a process by the clock of its host.
 std::uint64_t startMs(Incarnation Run) { return Run.Value >> 16; }
@@ -56,6 +59,8 @@
 }
 
 void AccountOwners::setMembers(std::span<const FleetMember> All, Instant Now) {
+  if (!FirstMembersAt)
+    FirstMembersAt = Now;
   std::map<HostId, KnownMember> Updated;
   Live = 0;
   Known = 0;
@@ -155,11 +160,14 @@
   return JoinedAt + Settings.GossipPeriod * 2;
 }
 
+double AccountOwners::currentShare() const {
+  const std::size_t All = std::max(Known, KnownByPeers);
+  return std::min(1.0, static_cast<double>(Live) / static_cast<double>(All));
+}
+
 void AccountOwners::updateShare(Instant Now) {
   Share.setWindow(settleTime());
-  const std::size_t All = std::max(Known, KnownByPeers);
-  Share.record(
-      std::min(1.0, static_cast<double>(Live) / static_cast<double>(All)), Now);
+  Share.record(currentShare(), Now);
 }
 
 double AccountOwners::share(Instant Now) {
@@ -167,6 +175,9 @@
     KnownByPeers = 0;
     updateShare(Now);
   }
+  const auto Start = commonStart();
+  if (Start && *Start <= Now && Now < *FirstMembersAt + StartPhase)
+    return currentShare();
   return Share.extreme(Now);
 }
 
--- a/src/masticgap/coordination/account_limit/account_owners.hpp
+++ b/src/masticgap/coordination/account_limit/account_owners.hpp
@@ -25,7 +25,7 @@
   HostId Host;
   FleetMemberStatus Status = FleetMemberStatus::Live;
   std::uint8_t SizeClass = 0; //!< See MemberRecord.
-  Incarnation Run;            //!< Of its process; 0: unknown.
+  Incarnation Run{};          //!< Of its process; 0: unknown.
 };
 
 //! This host's view of which host owns each account, and of its part of the
@@ -73,6 +73,7 @@
 
 private:
   bool startedTogether() const;
+  double currentShare() const;
   void assign();
   std::uint8_t ownerClass() const;
   void updateShare(Instant Now);
@@ -94,6 +95,7 @@
   std::size_t KnownByPeers = 0;
   Instant KnownByPeersAt;
   bool StartedTogether = false;
+  std::optional<Instant> FirstMembersAt;
   Instant JoinedAt; //!< When the last live member was learned.
   internal::SlidingExtreme<double, std::less<>> Share;
 };
