--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -479,6 +479,7 @@
     New.Host = Settings.Host;
   }
   Settings = std::move(New);
+  State.AccountLimits.settingsChanged();
   State.Log.write(
       LogClass::Decision, "reloaded",
       {{"seeds", static_cast<std::uint64_t>(Settings.Seeds.size())}});
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -22,7 +22,7 @@
 constexpr std::uint16_t Mark = 0x1d01;
 
 //! Returns the size class that a member announces.
-unsigned sizeClass(const MemberRecord &) { return 0; }
+unsigned sizeClass(const MemberRecord &Member) { return Member.SizeClass; }
 
 //! Entries of a message by column. Columns are encoded as a whole, which takes
 //! less time than field by field.
--- a/src/masticgap/coordination/account_limit/account_limiter.cpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.cpp
@@ -20,7 +20,7 @@
                                std::size_t MinMembers, std::uint64_t Seed,
                                Instant Started)
     : Settings(Settings), Owners(Settings, std::move(Self), MinMembers),
-      Owned(Settings, Owners, Started), Credit(Settings, Owners, Seed),
+      Owned(Settings, Owners, Started), Credit(Settings, Owners, Seed, Started),
       LastHeartbeat(Started), LastContact(Started), RestartedAt(Started) {}
 
 void AccountLimiter::heartbeat(Instant Now) {
@@ -54,6 +54,14 @@
   LastContact = Now;
 }
 
+void AccountLimiter::setSettings(const AccountLimitSettings &New, Instant Now) {
+  Settings = New;
+  Owners.setSettings(New);
+  Owned.setSettings(New);
+  Credit.setSettings(New);
+  Owned.update(Limits, Now);
+}
+
 void AccountLimiter::setLimits(std::vector<AccountLimit> New, Instant Now) {
   Limits = std::move(New);
   Owners.setAccounts(Limits);
@@ -118,10 +126,12 @@
 void AccountLimiter::handle(const HostId &From, const AccountMessage &Message,
                             Instant Now) {
   recordContact(Now);
-  if (const auto *Request = std::get_if<CreditRequest>(&Message))
-    Messages.push_back({From, Owned.handle(From, *Request, Now)});
-  else
+  if (const auto *Request = std::get_if<CreditRequest>(&Message)) {
+    if (const auto Grant = Owned.handle(From, *Request, Now))
+      Messages.push_back({From, *Grant});
+  } else {
     Credit.handle(From, std::get<CreditGrant>(Message), Now);
+  }
   route(Now);
 }
 
@@ -144,8 +154,8 @@
         continue;
       }
       const auto &Request = std::get<CreditRequest>(Message.What);
-      Credit.handle(Owners.self(), Owned.handle(Owners.self(), Request, Now),
-                    Now);
+      if (const auto Grant = Owned.handle(Owners.self(), Request, Now))
+        Credit.handle(Owners.self(), *Grant, Now);
     }
   }
 }
--- a/src/masticgap/coordination/account_limit/account_limiter.hpp
+++ b/src/masticgap/coordination/account_limit/account_limiter.hpp
@@ -30,6 +30,8 @@
   //! Records a message of a member that regards this host as dead.
   void recordDeclaredDead(Instant Now) { Owned.restart(Now); }
 
+  //! Applies changed bounds. Credit that was granted before stays valid.
+  void setSettings(const AccountLimitSettings &New, Instant Now);
   //! Sets the accounts that have a limit. Others are unlimited.
   void setLimits(std::vector<AccountLimit> New, Instant Now);
   //! Sets all members, including this host, dead ones and ones that left.
@@ -66,6 +68,14 @@
   //! Returns what admit() would decide, without a change of the state. If this
   //! host is the owner, the decision is estimated from its bucket.
   AccountAdmission preview(AccountKey Account, Instant Now) const;
+  //! Returns the credit that this host holds in stock.
+  std::uint32_t stock(AccountKey Account, Instant Now) {
+    return Credit.stock(Account, Now);
+  }
+  //! Returns the bucket of an account; nothing if this host does not own it.
+  std::optional<CreditBalance> balance(AccountKey Account, Instant Now) {
+    return Owned.balance(Account, Now);
+  }
   std::span<const AccountLimit> limits() const { return Limits; }
   const AccountLimitSettings &settings() const { return Settings; }
   //! Returns the owner of an account as seen from here; empty if there is none.
--- a/tests/coordination/account_limit/account_world.cpp
+++ b/tests/coordination/account_limit/account_world.cpp
@@ -109,9 +109,10 @@
         Target.Limiter->admit(Loads[Load].Limit.Key, Now);
     if (std::holds_alternative<AccountAdmitted>(Answer))
       admitted(Load);
-    else if (const auto *Waits = std::get_if<AwaitCredit>(&Answer))
+    else if (const auto *Waits = std::get_if<AwaitCredit>(&Answer)) {
+      ++Results[Load].Waited;
       Target.Waiting.emplace(Waits->Waiter, Load);
-    else
+    } else
       ++Results[Load].Refused;
     pump(Index);
   });
@@ -237,7 +238,8 @@
       return;
     std::vector<FleetMember> Members;
     for (std::size_t I = 0; I < Hosts.size(); ++I)
-      Members.push_back({Hosts[I].Id, Target.View[I], Hosts[I].SizeClass});
+      Members.push_back(
+          {Hosts[I].Id, Target.View[I], Hosts[I].SizeClass, Hosts[I].Started});
     Target.Limiter->setMembers(Members, Now);
     pump(Viewer);
   });
@@ -280,6 +282,8 @@
   Target.Running = true;
   Target.PausedUntil = Now;
   ++Target.Run;
+  Target.Started = makeIncarnation(
+      static_cast<std::uint64_t>(seconds(Now.time_since_epoch()) * 1000), 0);
   Target.Limiter = std::make_unique<AccountLimiter>(
       Settings, Target.Id, Hosts.size(), Random(), Now);
   Target.Limiter->setLimits(limits(), Now);
@@ -369,6 +373,16 @@
              : static_cast<std::size_t>(std::stoul(Owner.value().substr(1)));
 }
 
+bool AccountWorld::holdsBucket(std::size_t Load) {
+  const AccountLimit &Limit = Loads[Load].Limit;
+  double Stock = 0;
+  for (Host &Each : Hosts)
+    Stock += Each.Limiter->stock(Limit.Key, Now);
+  const auto Bucket = Hosts[owner(Load)].Limiter->balance(Limit.Key, Now);
+  return Bucket && Stock <= AccountLimitSettings::maxStock(Limit) &&
+         Bucket->Tokens + Stock <= Bucket->Capacity + 1e-9;
+}
+
 void AccountWorld::setLimit(std::size_t Load, AccountLimit Limit) {
   const AccountLimit Old = std::exchange(Loads[Load].Limit, Limit);
   // A lower limit is binding one window, and the time until all hosts have the
