End an upload at once when its caller leaves

While a body was streamed to a worker, no watch of the caller's connection existed, so a caller that left was noticed at the next read or write: a worker that did not read, or that had the whole body, was kept until the deadline of the request. A caller that left in the middle of its body was also recorded as a broken connection of the worker, which counts as a possible crash.

CallerWatch now exists during streamed requests as well, in gateways and in masticgap-entry. A repeatable request ends at once, and one that may not be repeated if the rest of its body cannot arrive; otherwise it continues. It is never declared "not run": gateways close without a response, masticgap-entry keeps the outcome "unknown" for the key. A body that its caller did not complete is not held against the worker.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <utility>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace masticgap::entry {
@@ -268,6 +269,8 @@
   while (BytesRead == 0 && !Parser->is_done()) {
     const auto Error = co_await readSome(PartBuffer, BytesRead);
     if (Error || Evicted || (!Parser->is_done() && isTooSlow())) {
+      LeftDuringBody =
+          Error && !Evicted && classify(Error) == ReadFailure::Closed;
       Broken = true;
       co_return RequestPart{{}, false, true};
     }
@@ -324,12 +327,42 @@
   co_return !Failed;
 }
 
+bool CallerConnection::hasWholeBody() const {
+  if (Parser->is_done())
+    return true;
+  const auto Remaining = Parser->content_length_remaining();
+  int Unread = 0;
+  if (!Remaining ||
+      ::ioctl(Stream.socket().native_handle(), FIONREAD, &Unread) != 0)
+    return false;
+  return Buffer.size() + static_cast<std::size_t>(Unread) >= *Remaining;
+}
+
 void CallerConnection::watch(std::function<void()> Gone) {
+  if (!Parser->is_done()) {
+    // Reading ahead, which finds the end of the connection, would take bytes of
+    // the body.
+    auto &Service = asio::use_service<transport::HangUpService>(
+        Stream.get_executor().context());
+    HangUpWatch = Service.add(Stream.socket().native_handle(), std::move(Gone));
+    return;
+  }
   OnGone = std::move(Gone);
   if (!WatchPending)
     armWatch();
 }
 
+void CallerConnection::unwatch() {
+  OnGone = {};
+  if (HangUpWatch == 0)
+    return;
+  auto &Service = asio::use_service<transport::HangUpService>(
+      Stream.get_executor().context());
+  Service.remove(std::exchange(HangUpWatch, 0),
+                 Stream.socket().is_open() ? Stream.socket().native_handle()
+                                           : -1);
+}
+
 void CallerConnection::armWatch() {
   WatchPending = true;
   Stream.socket().async_wait(
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -3,6 +3,7 @@
 #include "entry/settings.hpp"
 #include "masticgap/coordination/admission/buffer_budget.hpp"
 #include "masticgap/transport/caller_registry.hpp"
+#include "masticgap/transport/hang_up_service.hpp"
 #include "masticgap/transport/http_types.hpp"
 #include "masticgap/transport/worker_exchange.hpp"
 
@@ -71,6 +72,12 @@
            coordination::BufferReservation *Memory = nullptr);
   //! Returns whether the body was read to its end.
   bool isBodyRead() const { return Parser->is_done(); }
+  //! Returns whether all bytes of a body with a length have arrived, so that it
+  //! can be read to its end although the caller closed the connection.
+  bool hasWholeBody() const;
+  //! Returns whether the caller closed the connection before the end of a
+  //! streamed body.
+  bool leftDuringBody() const { return LeftDuringBody; }
   //! Reads the next part of a large body.
   boost::asio::awaitable<transport::RequestPart> readBodyPart();
 
@@ -130,7 +137,7 @@
   void beginWrite();
   void endWrite();
   void watch(std::function<void()> OnGone);
-  void unwatch() { OnGone = {}; }
+  void unwatch();
   void startIdleTimer();
   void stopIdleTimer();
   void armWatch();
@@ -156,6 +163,7 @@
   std::optional<AnswerSerializer> Serializer;
   std::vector<char> PartBuffer;
   std::function<void()> OnGone;
+  transport::HangUpService::WatchId HangUpWatch = 0; //!< 0: none.
   std::unique_ptr<transport::CallerAccount> Account;
   std::size_t HeadMemory = 0; //!< Of the fields of the current request.
   bool ExpectsContinue = false;
@@ -166,11 +174,13 @@
   bool Busy = false;
   bool CloseAfterAnswer = false;
   bool Broken = false;
+  bool LeftDuringBody = false;
   bool LastAnswerKeptAlive = true;
 };
 
-//! Detects during its lifetime that the caller closes its connection. Only one
-//! watch of a connection may exist at a time.
+//! Detects during its lifetime that the caller closes its connection, also
+//! while a part of a streamed body is unread. Only one watch of a connection
+//! may exist at a time.
 class CallerWatch {
 public:
   //! \param Caller outlives the watch.
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -90,10 +90,7 @@
 
 asio::awaitable<void> RequestHandler::serve() {
   State.record(EventKind::RequestReceived, fields());
-  // While a large body is read, the reader detects a closed connection.
-  std::optional<CallerWatch> Watch;
-  if (!Request.Streamed)
-    Watch.emplace(Caller, [this] { callerGone(); });
+  const CallerWatch Watch(Caller, [this] { callerGone(); });
   if (Request.Repeatable) {
     RequestResult Result = co_await dispatch();
     co_await answer(std::move(Result));
@@ -103,7 +100,11 @@
 }
 
 void RequestHandler::callerGone() {
-  if (Permission && !State.AtMostOnce.callerGone(Request, *Permission))
+  // A request that was sent continues, and its outcome is kept for a caller
+  // that sends the key again. One whose body cannot be completed ends.
+  const bool KeepsRunning =
+      Permission && !State.AtMostOnce.callerGone(Request, *Permission);
+  if (KeepsRunning && (!Request.Streamed || Caller.hasWholeBody()))
     return;
   Control.cancel();
 }
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -290,7 +290,7 @@
                ? AttemptOutcome(lostAnswer(AttemptEnd::TimedOut))
                : AttemptOutcome(unavailable("stopping", Duration(0)));
   }
-  if (Control.isCancelled()) {
+  if (Control.isCancelled() || Caller.leftDuringBody()) {
     RecordVerdict(WorkerVerdict::Abandoned);
     return Abandoned{};
   }
@@ -315,6 +315,11 @@
   case AttemptEnd::TimedOut:
     RecordVerdict(WorkerVerdict::TimedOut);
     break;
+  case AttemptEnd::Cancelled:
+    // The rest of the body could not be read, which says nothing against the
+    // worker.
+    RecordVerdict(WorkerVerdict::Abandoned);
+    break;
   default:
     RecordVerdict(WorkerVerdict::Broken);
     if (Failure.RequestSent)
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -117,19 +117,23 @@
       Request.Head, Request.Body, Request.Streamed, MatchedRoute->HostName);
   State.Dispatch.recordArrival(Service, ReceivedAt);
   std::optional<entry::CallerWatch> Watch;
-  if (!Request.Streamed)
-    Watch.emplace(Caller, [this] {
-      // A non-idempotent request that was sent continues: if it were
-      // cancelled, it would be unknown whether it was executed.
-      if (MatchedRoute->Idempotent || WorkersReached == 0)
-        Control.cancel();
-    });
+  Watch.emplace(Caller, [this] { callerGone(); });
   RequestOutcome End = co_await dispatch();
   Watch.reset();
   returnCredit(End);
   co_await finish(std::move(End));
 }
 
+void RequestFlow::callerGone() {
+  // A non-idempotent request that was sent continues: if it were cancelled, it
+  // would be unknown whether it was executed. One whose body cannot be
+  // completed ends, since its worker would wait for the rest.
+  const bool Continues =
+      Request.Streamed ? Caller.hasWholeBody() : WorkersReached > 0;
+  if (MatchedRoute->Idempotent || !Continues)
+    Control.cancel();
+}
+
 std::optional<LocalAnswer> RequestFlow::findRoute() {
   Config = State.Config;
   if (!Config)
@@ -312,8 +316,8 @@
     State.recordUnanswered(Id, "cut_off");
     Caller.abort();
   } else if (std::holds_alternative<Abandoned>(End)) {
-    State.recordUnanswered(Id, Control.isCancelled() ? "caller_left"
-                                                     : "send_failed");
+    const bool Left = Control.isCancelled() || Caller.leftDuringBody();
+    State.recordUnanswered(Id, Left ? "caller_left" : "send_failed");
     Caller.close();
   }
 }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -72,6 +72,8 @@
     bool Complete = false;
   };
 
+  //! Ends the request, unless it has to continue without its caller.
+  void callerGone();
   std::optional<LocalAnswer> findRoute();
   //! Finds the account by the key of the request.
   //! \returns an answer if the key is missing or unknown.
--- a/tests/entry/at_most_once.tests.cpp
+++ b/tests/entry/at_most_once.tests.cpp
@@ -1,8 +1,13 @@
+#include "common/eventually.hpp"
 #include "entry/traffic_fixture.hpp"
 
+#include <boost/beast/http/write.hpp>
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <future>
+#include <sstream>
+#include <thread>
 
 using namespace masticgap;
 using namespace masticgap::tests;
@@ -101,6 +106,36 @@
   CHECK(Fixture.seen() == 1);
 }
 
+// Guards against a second execution: a worker may have received a part of a
+// body whose caller left, so the request must not be declared "not run".
+TEST_CASE("an upload that its caller did not complete has an unknown outcome") {
+  TrafficFixture Fixture;
+  HttpRequest Request =
+      makePost(Fixture.boundKey("k"), std::string(1024 * 1024, 'b'));
+  TestCaller Leaving(Fixture.local());
+  std::ostringstream Text;
+  Text << Request;
+  Leaving.sendText(Text.str().substr(0, 512 * 1024));
+  // The first part of the body is sent soon after the dispatch.
+  CHECK(eventually([&] {
+    bool Dispatched = false;
+    Fixture.runOnForwardingThread(
+        [&] { Dispatched = !Fixture.State->InFlight.empty(); });
+    return Dispatched;
+  }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  Leaving.close();
+  CHECK(eventually([&] {
+    bool Idle = false;
+    Fixture.runOnForwardingThread(
+        [&] { Idle = Fixture.State->InFlight.empty(); });
+    return Idle;
+  }));
+  TestCaller Caller(Fixture.local());
+  CHECK(outcome(Caller.run(Request)) == "unknown");
+  CHECK(Fixture.seen() == 0);
+}
+
 TEST_CASE("a bound key runs on its owner only") {
   TrafficFixture Owner;
   TrafficFixture Other;
--- a/tests/entry/caller_connection.tests.cpp
+++ b/tests/entry/caller_connection.tests.cpp
@@ -130,3 +130,40 @@
     CHECK(Connection.Written == C.Sent);
   }
 }
+
+// Guards against the end of a connection that unread bytes of a body hide.
+TEST_CASE("a closed connection is detected behind unread bytes of a body") {
+  for (const bool Resets : {false, true}) {
+    CAPTURE(Resets);
+    ConnectionPair Connection;
+    asio::write(Connection.Client,
+                asio::buffer("POST / HTTP/1.1\r\nHost: a.example\r\n"
+                             "Content-Length: 100000\r\n\r\n" +
+                             std::string(50000, 'x')));
+    bool Gone = false;
+    asio::co_spawn(
+        Connection.Io,
+        [&]() -> asio::awaitable<void> {
+          Connection.Result = co_await Connection.Caller->readHead();
+        },
+        asio::detached);
+    Connection.Io.run();
+    REQUIRE_FALSE(Connection.Result);
+    {
+      const CallerWatch Watch(*Connection.Caller, [&] { Gone = true; });
+      Connection.Io.restart();
+      Connection.Io.run_for(std::chrono::milliseconds(50));
+      CHECK_FALSE(Gone);
+      if (Resets)
+        Connection.Client.set_option(asio::socket_base::linger(true, 0));
+      Connection.Client.close();
+      Connection.Io.restart();
+      Connection.Io.run_for(std::chrono::seconds(10));
+      CHECK(Gone);
+      CHECK_FALSE(Connection.Caller->hasWholeBody());
+    }
+    // Without a watch nothing keeps the io_context running.
+    Connection.Io.restart();
+    Connection.Io.run();
+  }
+}
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -52,8 +52,9 @@
 constexpr const char *ConfigTail =
     R"(]},"services":{"columns":["name","health_check_path","connection_limit",
 "cold_start","cold_per_s"],"rows":[["svc","/health",600,"3s",5]]},
-"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,
-"header_timeout":"3000ms","idle_timeout":"15000ms"}})";
+"limits":{"max_header_bytes":16384,"header_timeout":"3000ms",
+"idle_timeout":"15000ms","max_body_bytes":)";
+constexpr const char *ConfigEnd = "}}";
 
 } // namespace
 
@@ -132,7 +133,8 @@
 void GatewayFixture::putConfig(unsigned Version,
                                const std::string &ExtraRoutes) {
   putConfigRow(ConfigHead + std::to_string(Version) + ConfigRoutes +
-               ExtraRoutes + ConfigTail);
+               ExtraRoutes + ConfigTail + std::to_string(MaxBodyBytes) +
+               ConfigEnd);
 }
 
 void GatewayFixture::putConfigRow(const std::string &Text) {
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -64,6 +64,9 @@
   //! Returns the text at the metrics port.
   std::string metrics();
 
+  //! Sets the limit for bodies in the configurations of putConfig().
+  void setMaxBodyBytes(std::size_t Bytes) { MaxBodyBytes = Bytes; }
+
   //! Sets the parser of the load that a worker reports.
   void setLoadParser(decltype(gateway::WireFormat::ParseLoad) Parser) {
     ParseLoad = std::move(Parser);
@@ -108,6 +111,7 @@
   std::unique_ptr<gateway::GatewayDaemon> Daemon;
   std::thread Thread;
   bool Started = false;
+  std::size_t MaxBodyBytes = 1'000'000;
 };
 
 //! Returns a complete answer of a worker in the platform's format.
