State why a name in HangUpService differs from the style

clang-tidy reported the name that Asio requires for the id of a service. Only a comment changes; clang-tidy passes on hang_up_service.cpp, the other changed files were not checked.

--- a/src/masticgap/transport/hang_up_service.hpp
+++ b/src/masticgap/transport/hang_up_service.hpp
@@ -15,6 +15,8 @@
 //! opens a descriptor.
 class HangUpService : public boost::asio::execution_context::service {
 public:
+  //! Asio requires this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static boost::asio::execution_context::id id;
   using WatchId = std::uint64_t;
 
