Explain a request with the standing of its account in admission

Cause: the explanation of a request left out the shift of the wait limit that the fairness between accounts gives, so that it could differ from the decision. Change: it passes on what RequestFlow does for a request that is not retried.

--- a/src/gateway/explain_view.cpp
+++ b/src/gateway/explain_view.cpp
@@ -236,6 +236,11 @@
   std::mt19937_64 Random = State.Random;
   Request.Object = objectOf(*Matched, Service, Query.Object, Random);
   Request.Deadline = Deadline;
+  // As RequestFlow does for a request that is not retried.
+  if (Config->Accounts)
+    Request.Caller = CallerStanding{
+        Duration(0),
+        State.Shares.limitShift(Caller ? Caller->Name.value() : "", Now)};
   const DispatchExplanation Why = State.Dispatch.explain(Request, Now);
   Out["priority"] = Request.Priority;
   Out["objective_ms"] = milliseconds(Request.LatencyObjective);
