--- a/tests/gateway/operator_views.tests.cpp
+++ b/tests/gateway/operator_views.tests.cpp
@@ -157,20 +157,20 @@
   REQUIRE(V.Status == 200);
   const json::array &All = View.at("accounts").as_array();
   REQUIRE(All.size() == 3);
-  const auto number = [](const json::value &Row, const char *Name) {
+  const auto Number = [](const json::value &Row, const char *Name) {
     return Row.at(Name).to_number<double>();
   };
-  CHECK(number(All[0], "asked") == 1);
-  CHECK(number(All[0], "served") == 1);
+  CHECK(Number(All[0], "asked") == 1);
+  CHECK(Number(All[0], "served") == 1);
   CHECK_FALSE(All[0].as_object().contains("owner")); // It has no limit.
-  CHECK(number(All[1], "asked") == 20);
-  CHECK(number(All[1], "served") == Served);
-  CHECK(number(All[1], "limited") == 20 - Served);
-  CHECK(number(All[1].at("reasons"), "over_limit") == 20 - Served);
-  CHECK(number(All[1], "credit_granted") >= Served);
+  CHECK(Number(All[1], "asked") == 20);
+  CHECK(Number(All[1], "served") == Served);
+  CHECK(Number(All[1], "limited") == 20 - Served);
+  CHECK(Number(All[1].at("reasons"), "over_limit") == 20 - Served);
+  CHECK(Number(All[1], "credit_granted") >= Served);
   CHECK(All[1].at("owner") == "h1");
-  CHECK(number(All[1], "bucket") < 1);
-  CHECK(number(All[2].at("reasons"), "no_workers") == 1);
+  CHECK(Number(All[1], "bucket") < 1);
+  CHECK(Number(All[2].at("reasons"), "no_workers") == 1);
   CHECK(V.get("/accounts?name=small").at("accounts").as_array().size() == 1);
   const json::object Why =
       V.get("/explain?host=a.example&path=/safe/x&account=small");
