--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -342,7 +342,7 @@
             "platform": f"{w.store.address}:{w.store.port}",
             "grace_period": "6s", "retry_ratio": 0.2, "retry_slack": 112,
             "retry_window": "10s", "memory_mb": 182,
-            "file_descriptors": 2870}
+            "file_descriptors": 2870, **w.more_settings}
 
     def start(self):
         path = self.world.folder / f"{self.name}.json"
@@ -403,6 +403,7 @@
         self.store = Store(f"{self.block}.200", 0)
         self.gateways = []
         self.listeners = [self.store]
+        self.more_settings = {}  # of all gateways
 
     def __enter__(self):
         return self
