--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -452,7 +452,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = case(os.environ.get("TROUBLE", "1") != "0")
-    except CannotRun as problem:
-        print(f"cannot run: {problem}", file=sys.stderr)
+    except Exception as problem:  # Only a verdict may end with 0 or 1.
+        print(f"cannot run: {problem!r}", file=sys.stderr)
         sys.exit(2)
     sys.exit(0 if held else 1)
