Deliver no answer that was reset as complete

Cause: the kernel reports a reset to one operation only. While the request body is still being sent, the event loop runs the pending write first, which takes the error, and the read then finds a plain end of the stream.

Change: when the end of the connection ends an answer, the kernel is asked whether a FIN arrived: a reset closes both directions, and a FIN counts as a byte in tcpi_bytes_received. That does not depend on which operation took the error, nor on whether the request was sent or read. The streams to workers count the bytes read.

--- a/src/masticgap/transport/attempt_control.hpp
+++ b/src/masticgap/transport/attempt_control.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "masticgap/transport/worker_stream.hpp"
+
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include <variant>
 
@@ -19,7 +20,7 @@
   //! Ends the pending operation; afterwards isCancelled() returns true.
   void cancel() {
     Requested = true;
-    if (auto *const *Stream = std::get_if<boost::beast::tcp_stream *>(&Active))
+    if (auto *const *Stream = std::get_if<WorkerStream *>(&Active))
       (*Stream)->close();
     if (auto *const *Timer = std::get_if<boost::asio::steady_timer *>(&Active))
       (*Timer)->cancel();
@@ -27,13 +28,12 @@
   bool isCancelled() const { return Requested; }
 
   //! Sets the operation that cancel() ends.
-  void attach(boost::beast::tcp_stream *Stream) { Active = Stream; }
+  void attach(WorkerStream *Stream) { Active = Stream; }
   void attach(boost::asio::steady_timer *Timer) { Active = Timer; }
   void detach() { Active = std::monostate(); }
 
 private:
-  std::variant<std::monostate, boost::beast::tcp_stream *,
-               boost::asio::steady_timer *>
+  std::variant<std::monostate, WorkerStream *, boost::asio::steady_timer *>
       Active;
   bool Requested = false;
 };
--- a/src/masticgap/transport/worker_connection.hpp
+++ b/src/masticgap/transport/worker_connection.hpp
@@ -2,10 +2,10 @@
 
 #include "masticgap/coordination/connection_health.hpp"
 #include "masticgap/state/time.hpp"
+#include "masticgap/transport/worker_stream.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include <cstddef>
 #include <vector>
@@ -17,7 +17,7 @@
   WorkerConnection(boost::asio::io_context &Io, Instant Now)
       : Stream(Io), Health(Now) {}
 
-  boost::beast::tcp_stream Stream;
+  WorkerStream Stream;
   boost::beast::flat_buffer Buffer;
   coordination::ConnectionHealth Health;
   bool Reused = false; //!< Has carried an earlier request.
--- a/src/masticgap/transport/worker_connection_pool.cpp
+++ b/src/masticgap/transport/worker_connection_pool.cpp
@@ -38,7 +38,7 @@
 }
 
 //! Binds the connection to the local address \p Source.
-beast::error_code bindTo(beast::tcp_stream &Stream, const Tcp::endpoint &To,
+beast::error_code bindTo(WorkerStream &Stream, const Tcp::endpoint &To,
                          const std::string &Source) {
   beast::error_code Failure;
   const auto Address = asio::ip::make_address(Source, Failure);
@@ -191,7 +191,7 @@
   ++Pimpl->Opened;
   Lease Fresh(Pimpl, Target,
               std::make_shared<WorkerConnection>(Pimpl->Io, Pimpl->Clock()));
-  beast::tcp_stream &Stream = Fresh.connection().Stream;
+  WorkerStream &Stream = Fresh.connection().Stream;
   beast::error_code Failure;
   const auto Address = asio::ip::make_address(Target.Address.Address, Failure);
   if (Failure)
--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -1,5 +1,6 @@
 #include "masticgap/transport/worker_exchange.hpp"
 
+#include "masticgap/transport/peer_close.hpp"
 #include "masticgap/transport/response_status.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -410,7 +411,7 @@
     BodyBytes = Into.size() - Body.size;
     if (Error == http::error::need_buffer)
       Error = {};
-    if (Error || Control.isCancelled()) {
+    if (Error || Control.isCancelled() || isCutOff()) {
       Failure = classify(Error, End::Truncated, Control);
       Lease.reset();
       co_return 0;
@@ -421,6 +422,15 @@
   co_return BodyBytes;
 }
 
+bool WorkerExchange::isCutOff() {
+  if (!Answer->is_done() || !Answer->need_eof())
+    return false;
+  auto &Stream = Lease->connection().Stream;
+  return !Stream.socket().is_open() ||
+         !peerClosedInOrder(Stream.socket().native_handle(),
+                            Stream.rate_policy().bytesRead());
+}
+
 void WorkerExchange::finish() {
   Done = true;
   // The next answer on the connection must be distinguishable from a late
--- a/src/masticgap/transport/worker_exchange.hpp
+++ b/src/masticgap/transport/worker_exchange.hpp
@@ -127,6 +127,8 @@
   std::optional<End> checkHead(std::string_view RequestId, bool AfterSkipped);
   End classify(boost::system::error_code Error, End DefaultEnd,
                const AttemptControl &Control) const;
+  //! Returns whether the answer ended with its connection, but not in order.
+  bool isCutOff();
   void limitTime();
   bool isOverdue() const;
   void finish();
