Keep uploads to workers that read them late

Cause: TCP_USER_TIMEOUT is 2 s on connections to workers. Linux also counts the time in which a live peer acknowledges probes of its full window.

Change: while a request with a body is at a worker, SendGuard extends the limit every 500 ms if all bytes sent are acknowledged, others wait for space and probes are answered. A peer that acknowledges nothing is noticed after 2 s as before. The reading of TCP_INFO moves to tcp_state.

--- a/src/masticgap/transport/dead_peer_detection.cpp
+++ b/src/masticgap/transport/dead_peer_detection.cpp
@@ -16,8 +16,6 @@
 constexpr int KeepAliveIdle = 1;
 constexpr int KeepAliveInterval = 1;
 constexpr int KeepAliveCount = 2;
-//! Maximum time that sent bytes may remain unacknowledged.
-constexpr int UserTimeoutMs = 2000;
 
 void setOption(int Handle, int Level, int Option, int Value) {
   static bool Warned = false;
@@ -36,7 +34,13 @@
   setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdle);
   setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveInterval);
   setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveCount);
-  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
+  setMaxUnacknowledged(Socket, MaxUnacknowledged);
+}
+
+void setMaxUnacknowledged(boost::asio::ip::tcp::socket &Socket,
+                          std::chrono::milliseconds Time) {
+  setOption(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(Time.count()));
 }
 
 } // namespace masticgap::transport
--- a/src/masticgap/transport/peer_close.cpp
+++ b/src/masticgap/transport/tcp_state.cpp
@@ -1,4 +1,4 @@
-#include "masticgap/transport/peer_close.hpp"
+#include "masticgap/transport/tcp_state.hpp"
 
 #include <glog/logging.h>
 
@@ -17,6 +17,14 @@
 //! Period of log lines about a kernel without the byte counters.
 constexpr double UnknownLineSeconds = 60;
 
+//! Reads the state of a connection.
+//! \returns the number of bytes that the kernel filled in; 0 on failure.
+std::size_t readInfo(int Handle, tcp_info &Info) {
+  socklen_t Size = sizeof(Info);
+  return ::getsockopt(Handle, IPPROTO_TCP, TCP_INFO, &Info, &Size) == 0 ? Size
+                                                                        : 0;
+}
+
 } // namespace
 
 bool peerClosedInOrder(int Handle, std::uint64_t BytesRead) {
@@ -28,11 +36,9 @@
     return true;
   // Both directions are closed. A FIN that arrived before counts as a byte.
   tcp_info Info{};
-  socklen_t Size = sizeof(Info);
   constexpr std::size_t Needed = offsetof(tcp_info, tcpi_bytes_received) +
                                  sizeof(Info.tcpi_bytes_received);
-  if (::getsockopt(Handle, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0 ||
-      Size < Needed) {
+  if (readInfo(Handle, Info) < Needed) {
     LOG_EVERY_T(WARNING, UnknownLineSeconds)
         << "the kernel does not tell how connections to workers ended; answers "
            "without a length whose connection was closed both ways count as "
@@ -42,4 +48,14 @@
   return Info.tcpi_bytes_received > BytesRead;
 }
 
+TcpSendState tcpSendState(int Handle) {
+  tcp_info Info{};
+  constexpr std::size_t Needed =
+      offsetof(tcp_info, tcpi_notsent_bytes) + sizeof(Info.tcpi_notsent_bytes);
+  if (readInfo(Handle, Info) < Needed)
+    return {};
+  return {Info.tcpi_unacked == 0 && Info.tcpi_notsent_bytes > 0,
+          Info.tcpi_probes};
+}
+
 } // namespace masticgap::transport
--- a/src/masticgap/transport/peer_close.hpp
+++ b/src/masticgap/transport/tcp_state.hpp
@@ -12,4 +12,15 @@
 //! \param BytesRead all bytes ever read from the connection.
 bool peerClosedInOrder(int Handle, std::uint64_t BytesRead);
 
+//! What the kernel knows of the bytes that a socket has yet to deliver.
+struct TcpSendState {
+  //! All bytes that were sent are acknowledged, and the others wait for space
+  //! at the peer (its window is full).
+  bool AwaitsWindow = false;
+  unsigned UnansweredProbes = 0; //!< Probes of a full window.
+};
+
+//! Returns the state of a socket; without it from the kernel, no bytes wait.
+TcpSendState tcpSendState(int Handle);
+
 } // namespace masticgap::transport
--- a/src/masticgap/transport/worker_exchange.cpp
+++ b/src/masticgap/transport/worker_exchange.cpp
@@ -1,8 +1,8 @@
 #include "masticgap/transport/worker_exchange.hpp"
 
 #include "masticgap/transport/hang_up_service.hpp"
-#include "masticgap/transport/peer_close.hpp"
 #include "masticgap/transport/response_status.hpp"
+#include "masticgap/transport/tcp_state.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -144,6 +144,9 @@
     co_return Ended;
   Connected = true;
   Control.attach(&Lease->connection().Stream);
+  // Bytes wait in the kernel also after the send has ended.
+  if (Request.More || Request.Body.size() > SmallBodyBytes)
+    Guard.emplace(Lease->share());
   if (!Request.More && Request.Body.size() > SmallBodyBytes) {
     Ended = co_await sendAndReadHead(Request, Control);
     Control.detach();
@@ -446,6 +449,7 @@
 
 void WorkerExchange::finish() {
   Done = true;
+  Guard.reset();
   // The next answer on the connection must be distinguishable from a late
   // answer to this request, so a connection is not reused unless the worker
   // echoes request ids.
--- a/src/masticgap/transport/worker_exchange.hpp
+++ b/src/masticgap/transport/worker_exchange.hpp
@@ -3,6 +3,7 @@
 #include "masticgap/coordination/attempt_result.hpp"
 #include "masticgap/state/time.hpp"
 #include "masticgap/transport/attempt_control.hpp"
+#include "masticgap/transport/send_guard.hpp"
 #include "masticgap/transport/worker_connection_pool.hpp"
 #include "masticgap/transport/worker_dialect.hpp"
 #include "masticgap/transport/worker_target.hpp"
@@ -137,6 +138,7 @@
   std::function<Instant()> Clock;
   ExchangeOptions Options;
   std::optional<WorkerConnectionPool::Lease> Lease;
+  std::optional<SendGuard> Guard; //!< Of a request with a body.
   std::optional<Parser> Answer;
   std::uint64_t Received = 0;
   std::uint64_t Sent = 0;
--- a/tests/transport/answer_end.tests.cpp
+++ b/tests/transport/answer_end.tests.cpp
@@ -9,9 +9,11 @@
 
 #include <array>
 #include <chrono>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 using namespace masticgap;
@@ -74,7 +76,8 @@
   }
 
   void answer(std::string_view Text) {
-    asio::write(Worker, asio::buffer(Text));
+    boost::system::error_code Ignored;
+    asio::write(Worker, asio::buffer(Text), Ignored);
   }
 
   //! Closes with unread bytes, which resets the connection.
@@ -255,3 +258,30 @@
     }
   }
 }
+
+// Guards against the end of an upload whose worker works without reading it:
+// the kernel ends a connection after that time although the worker is alive.
+TEST_CASE("an upload waits for a worker that reads it late") {
+  constexpr std::chrono::milliseconds Work(3200);
+  std::deque<ManualExchange> All;
+  for (const RequestKind &Request : Requests)
+    All.emplace_back(Request.Bytes).start(Request.How);
+  const Instant End = transport::now() + Work;
+  while (transport::now() < End)
+    for (ManualExchange &E : All) {
+      E.Io.restart();
+      E.Io.poll();
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  std::size_t Number = 0;
+  for (ManualExchange &E : All) {
+    const std::string &Name = Requests[Number++].Name;
+    CAPTURE(Name);
+    CHECK_FALSE(E.Result);
+    E.answer("HTTP/1.1 200 X\r\nMasticgap-Request-Id: mine\r\n"
+             "Content-Length: 5\r\n\r\nwhole");
+    E.readOn();
+    CHECK((E.finish() == AttemptEnd::Answered));
+    CHECK(E.Body == "whole");
+  }
+}
