Close a crowd of single bytes before uploads that pause

Cause: when memory is short, the caller with the highest product of bytes and time without progress is closed, and any byte was progress. An upload had no protection while its worker waited for it and was ended by a reset.

Change: bytes are progress once there are 4 KiB of them; the time at a worker is no pause; an upload that is closed while its worker waits for it gets 502.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -78,6 +78,7 @@
   if (Account) {
     Account->noteReserved(0);
     Account->setServed(false);
+    Account->progress();
   }
   holdBuffers();
   // IdleTimeout applies between requests, ReceiveTimeout within a head.
@@ -129,7 +130,7 @@
     if (!holdBuffers())
       break;
     if (Account)
-      Account->progress();
+      Account->received(Bytes);
   }
   co_return beast::error_code();
 }
@@ -156,8 +157,10 @@
 
 void CallerConnection::beginWrite() {
   // From now on only the caller can cause a wait.
-  if (Account)
+  if (Account) {
     Account->setServed(false);
+    Account->progress();
+  }
 }
 
 void CallerConnection::endWrite() {
@@ -167,8 +170,12 @@
 
 void CallerConnection::evict() {
   Evicted = true;
-  // A reset would discard a response that an idle caller has not read yet.
-  if (Busy)
+  // A worker has the beginning of the request, so that the caller is told that
+  // its outcome is unknown. A reset would also discard a response that an idle
+  // caller has not read yet.
+  if (AwaitsBodyPart)
+    Stream.cancel();
+  else if (Busy)
     abort();
   else
     close();
@@ -223,7 +230,7 @@
   BodyBytes += BytesRead;
   BodyWait += transport::now() - Before;
   if (Account)
-    Account->progress();
+    Account->received(BytesRead);
   co_return Error == http::error::need_buffer ? beast::error_code() : Error;
 }
 
@@ -267,7 +274,9 @@
     Account->setServed(false);
   std::size_t BytesRead = 0;
   while (BytesRead == 0 && !Parser->is_done()) {
+    AwaitsBodyPart = true;
     const auto Error = co_await readSome(PartBuffer, BytesRead);
+    AwaitsBodyPart = false;
     if (Error || Evicted || (!Parser->is_done() && isTooSlow())) {
       LeftDuringBody =
           Error && !Evicted && classify(Error) == ReadFailure::Closed;
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -107,7 +107,8 @@
   //! Closes the connection immediately.
   void close();
   //! Closes the connection because memory or descriptors are short. The current
-  //! operation fails, and no request is read any more.
+  //! operation fails, and no request is read any more. While readBodyPart()
+  //! waits for the caller, only that read fails, so that a response can follow.
   void evict();
   bool isEvicted() const { return Evicted; }
   //! Stops waiting for the next request. A request of which bytes were already
@@ -170,6 +171,7 @@
   std::size_t BodyBytes = 0; //!< Received of the current body.
   Duration BodyWait{0};      //!< Time spent waiting for the current body.
   bool Evicted = false;
+  bool AwaitsBodyPart = false; //!< readBodyPart() waits for the caller.
   bool WatchPending = false;
   bool Busy = false;
   bool CloseAfterAnswer = false;
--- a/src/masticgap/coordination/admission/caller_ledger.cpp
+++ b/src/masticgap/coordination/admission/caller_ledger.cpp
@@ -37,16 +37,32 @@
 }
 
 void CallerLedger::progress(CallerId Caller, Instant Now) {
-  if (const auto Found = Callers.find(Caller); Found != Callers.end())
-    Found->second.LastProgress = Now;
+  const auto Found = Callers.find(Caller);
+  if (Found == Callers.end())
+    return;
+  Found->second.LastProgress = Now;
+  Found->second.NewBytes = 0;
+}
+
+void CallerLedger::received(CallerId Caller, std::size_t Bytes, Instant Now) {
+  const auto Found = Callers.find(Caller);
+  if (Found == Callers.end())
+    return;
+  Found->second.NewBytes += Bytes;
+  if (Found->second.NewBytes >= MinProgressBytes)
+    progress(Caller, Now);
 }
 
 void CallerLedger::setServed(CallerId Caller, bool Served, Instant Now) {
   const auto Found = Callers.find(Caller);
   if (Found == Callers.end())
     return;
-  Found->second.Served = Served;
-  Found->second.LastProgress = Now;
+  Entry &State = Found->second;
+  if (Served && !State.Served)
+    State.ServedSince = Now;
+  if (!Served && State.Served)
+    State.LastProgress += Now - State.ServedSince;
+  State.Served = Served;
 }
 
 std::optional<CallerLedger::Victim>
--- a/src/masticgap/coordination/admission/caller_ledger.hpp
+++ b/src/masticgap/coordination/admission/caller_ledger.hpp
@@ -18,6 +18,7 @@
 class CallerLedger {
 public:
   using CallerId = std::uint64_t;
+  static constexpr std::size_t MinProgressBytes = 4 * 1024;
 
   //! Connection to be closed.
   struct Victim {
@@ -37,9 +38,14 @@
   void close(CallerId Caller) { Callers.erase(Caller); }
   //! Sets the number of bytes that a caller makes the process hold.
   void hold(CallerId Caller, std::size_t Bytes);
-  //! Records that a caller sent or read something.
+  //! Records that a caller began a request or read a response.
   void progress(CallerId Caller, Instant Now);
-  //! Sets whether a worker is serving a request of the caller.
+  //! Records bytes of a request. They are progress once there are
+  //! MinProgressBytes of them, so that a caller cannot keep its connection by
+  //! single bytes.
+  void received(CallerId Caller, std::size_t Bytes, Instant Now);
+  //! Sets whether a worker is serving a request of the caller. That time does
+  //! not count as time without progress.
   void setServed(CallerId Caller, bool Served, Instant Now);
 
   //! Removes and returns the connection that holds most for the longest
@@ -52,6 +58,8 @@
   struct Entry {
     std::size_t Bytes = 0;
     Instant LastProgress;
+    std::size_t NewBytes = 0; //!< Since LastProgress.
+    Instant ServedSince;
     bool Served = false;
   };
 
--- a/src/masticgap/transport/caller_registry.cpp
+++ b/src/masticgap/transport/caller_registry.cpp
@@ -58,6 +58,10 @@
   Registry->Ledger.progress(Id, Registry->Now());
 }
 
+void CallerAccount::received(std::size_t Bytes) {
+  Registry->Ledger.received(Id, Bytes, Registry->Now());
+}
+
 void CallerAccount::setServed(bool Served) {
   Registry->Ledger.setServed(Id, Served, Registry->Now());
 }
--- a/src/masticgap/transport/caller_registry.hpp
+++ b/src/masticgap/transport/caller_registry.hpp
@@ -36,8 +36,10 @@
   //! Sets the memory of the connection for which another object has a
   //! reservation, such as a body. It only serves to rank connections.
   void noteReserved(std::size_t Bytes);
-  //! Records that the caller sent or read something.
+  //! Records that the caller began a request or read a response.
   void progress();
+  //! Records that the caller sent bytes of a request.
+  void received(std::size_t Bytes);
   //! Sets whether a worker is serving a request of this caller. Such a caller
   //! is not closed.
   void setServed(bool Served);
--- a/tests/coordination/admission/caller_ledger.tests.cpp
+++ b/tests/coordination/admission/caller_ledger.tests.cpp
@@ -56,6 +56,52 @@
   }
 }
 
+// Guards against a crowd that keeps its connections by single bytes, while
+// uploads that pause for longer than the crowd does are closed.
+TEST_CASE("single bytes are no progress, and the time at a worker no pause") {
+  struct Part {
+    std::chrono::milliseconds Before; //!< The choice.
+    std::size_t Bytes;
+  };
+  struct Case {
+    const char *Name;
+    std::vector<Part> Crowd;
+    std::chrono::milliseconds Pause; //!< Of the upload before the choice.
+    std::chrono::milliseconds AtWorker;
+    bool UploadIsClosed;
+  };
+  constexpr std::size_t Enough = CallerLedger::MinProgressBytes;
+  const Case Cases[] = {
+      {"single bytes", {{300ms, 1}, {150ms, 1}, {1ms, 1}}, 500ms, 0ms, false},
+      {"many small parts",
+       {{300ms, Enough / 2}, {1ms, Enough / 2}},
+       500ms,
+       0ms,
+       true},
+      {"a large part", {{1ms, Enough}}, 500ms, 0ms, true},
+      {"the upload pauses for longer", {{1ms, 1}}, 3s, 0ms, true},
+      {"the worker takes long", {{1ms, 1}}, 3s, 2s, false},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.Name);
+    const Instant Now = Instant() + 1h;
+    CallerLedger Ledger(10);
+    const auto Upload = Ledger.open(Now - C.Pause);
+    const auto Crowd = Ledger.open(Now - 2s);
+    for (const auto Each : {Upload, Crowd})
+      Ledger.hold(Each, 256 * 1024);
+    for (const Part &Sent : C.Crowd)
+      Ledger.received(Crowd, Sent.Bytes, Now - Sent.Before);
+    if (C.AtWorker > 0ms) {
+      Ledger.setServed(Upload, true, Now - C.AtWorker);
+      Ledger.setServed(Upload, false, Now);
+    }
+    const auto Victim = Ledger.takeVictim(0, Now);
+    REQUIRE(Victim);
+    CHECK(Victim->Caller == (C.UploadIsClosed ? Upload : Crowd));
+  }
+}
+
 // Guards against callers that take the descriptors for files and for workers.
 TEST_CASE("callers get less than half of the descriptors") {
   struct Case {
--- a/tests/gateway/uploads.tests.cpp
+++ b/tests/gateway/uploads.tests.cpp
@@ -184,6 +184,8 @@
     CHECK(Response->result_int() == 200);
   }
   CHECK(F.metrics().find("kind=\"closed_memory\"") != std::string::npos);
+  // Guards against the end of a request at a worker without an answer.
+  CHECK(Stopped.front().status() == 502);
   // Nothing was declared "not run" and none of the uploads was completed.
   for (const SeenRequest &Seen : Worker.seen())
     CHECK(Seen.Body.size() == StreamedBytes / 2);
