Divide a limit among hosts that do not know of each other yet

Cause: hosts that start before the seeds form groups that do not know of each other for up to 5 s. Each group knew no older and no dead member and took itself for the whole fleet, so that its owner granted the whole rate.

Change: while a host does not know all seeds and no member is older, its share is at most the live part of the seeds in its view. Such groups know different seeds, so their shares sum up to 1 at most. A common start needs all seeds.

--- a/src/gateway/account_exchange.cpp
+++ b/src/gateway/account_exchange.cpp
@@ -63,6 +63,7 @@
   Result.Slack = Settings.QuotaSlack;
   Result.RoundTrip = Settings.CrossRegionRoundTrip;
   Result.GossipPeriod = Settings.GossipPeriod;
+  Result.Seeds = Settings.Seeds.size();
   return Result;
 }
 
@@ -223,8 +224,14 @@
   Peers.clear();
   PeerHosts.clear();
   for (const MemberRecord &Member : MemberSource()) {
-    All.push_back(
-        {Member.Host.Id, statusOf(Member), Member.SizeClass, Member.Host.Run});
+    const bool IsSeed = std::ranges::any_of(
+        Settings.Seeds,
+        [&](const std::string &Address) {
+          return Address == Member.Host.Address;
+        },
+        &Endpoint::Address);
+    All.push_back({Member.Host.Id, statusOf(Member), Member.SizeClass,
+                   Member.Host.Run, IsSeed});
     if (!isLive(Member) || Member.Host.Id == Settings.Host)
       continue;
     error_code Failed;
--- a/src/masticgap/coordination/account_limit/account_limit.hpp
+++ b/src/masticgap/coordination/account_limit/account_limit.hpp
@@ -37,6 +37,9 @@
   //! Longest round trip between two hosts in ordinary conditions.
   Duration RoundTrip = std::chrono::milliseconds(40);
   Duration GossipPeriod = std::chrono::milliseconds(500);
+  //! Number of hosts through which all others join, the same ones everywhere;
+  //! 0 if there are none.
+  std::size_t Seeds = 0;
 
   //! Returns the time within which all hosts of a connected fleet learn that a
   //! member joined or is dead. A new owner grants credit after this time, so
--- a/src/masticgap/coordination/account_limit/account_owners.cpp
+++ b/src/masticgap/coordination/account_limit/account_owners.cpp
@@ -64,16 +64,20 @@
   std::map<HostId, KnownMember> Updated;
   Live = 0;
   Known = 0;
+  KnownSeeds = 0;
+  LiveSeeds = 0;
   for (const FleetMember &Member : All) {
     const auto Before = Members.find(Member.Host);
     const bool WasDead = Before != Members.end() &&
                          Before->second.Status == FleetMemberStatus::Dead;
     const Instant DeadSince = WasDead ? Before->second.DeadSince : Now;
     Updated[Member.Host] = {Member.Status, DeadSince, Member.SizeClass,
-                            Member.Run};
+                            Member.Run, Member.IsSeed};
     const bool IsLive = Member.Status == FleetMemberStatus::Live ||
                         Member.Status == FleetMemberStatus::Stopping;
     Live += IsLive ? 1 : 0;
+    KnownSeeds += Member.IsSeed ? 1 : 0;
+    LiveSeeds += Member.IsSeed && IsLive ? 1 : 0;
     if (IsLive && (Before == Members.end() || Before->second.Run != Member.Run))
       JoinedAt = Now;
     Known += IsLive || (Member.Status == FleetMemberStatus::Dead &&
@@ -141,19 +145,33 @@
                                 : Found->second.Status;
 }
 
-bool AccountOwners::startedTogether() const {
+bool AccountOwners::hasOlderMember() const {
   const auto Own = Members.find(Self);
-  if (Live <= 1 || Own == Members.end())
+  if (Own == Members.end())
     return false;
   const std::uint64_t OwnStart = startMs(Own->second.Run);
-  return std::ranges::none_of(Members, [&](const auto &Entry) {
+  return std::ranges::any_of(Members, [&](const auto &Entry) {
     const KnownMember &Member = Entry.second;
-    return Member.Status == FleetMemberStatus::Dead ||
-           (Member.Status != FleetMemberStatus::Left &&
-            startMs(Member.Run) + MaxStartSpreadMs < OwnStart);
+    return Member.Status != FleetMemberStatus::Left &&
+           startMs(Member.Run) + MaxStartSpreadMs < OwnStart;
   });
 }
 
+bool AccountOwners::startedTogether() const {
+  const bool HasDead = std::ranges::any_of(Members, [](const auto &Entry) {
+    return Entry.second.Status == FleetMemberStatus::Dead;
+  });
+  return Live > 1 && Members.contains(Self) && !HasDead && !hasOlderMember() &&
+         KnownSeeds >= Settings.Seeds;
+}
+
+double AccountOwners::seedShare() const {
+  // A member that is older knows of the hosts that are missing here.
+  if (KnownSeeds >= Settings.Seeds || hasOlderMember())
+    return 1;
+  return static_cast<double>(LiveSeeds) / static_cast<double>(Settings.Seeds);
+}
+
 std::optional<Instant> AccountOwners::commonStart() const {
   if (!StartedTogether)
     return std::nullopt;
@@ -162,7 +180,8 @@
 
 double AccountOwners::currentShare() const {
   const std::size_t All = std::max(Known, KnownByPeers);
-  return std::min(1.0, static_cast<double>(Live) / static_cast<double>(All));
+  return std::min(seedShare(),
+                  static_cast<double>(Live) / static_cast<double>(All));
 }
 
 void AccountOwners::updateShare(Instant Now) {
--- a/src/masticgap/coordination/account_limit/account_owners.hpp
+++ b/src/masticgap/coordination/account_limit/account_owners.hpp
@@ -26,6 +26,7 @@
   FleetMemberStatus Status = FleetMemberStatus::Live;
   std::uint8_t SizeClass = 0; //!< See MemberRecord.
   Incarnation Run{};          //!< Of its process; 0: unknown.
+  bool IsSeed = false;        //!< See AccountLimitSettings::Seeds.
 };
 
 //! This host's view of which host owns each account, and of its part of the
@@ -54,7 +55,7 @@
   //! Returns when the owners may grant credit in a fleet whose processes have
   //! all just started, so that nobody granted credit before: once the members
   //! stop changing. \returns nothing if a member may be older, or if this host
-  //! knows no other one.
+  //! knows no other one or not all seeds.
   std::optional<Instant> commonStart() const;
   //! Returns the live share of the members, the smallest one within the settle
   //! time. The sum over parts that cannot reach each other is at most 1.
@@ -72,7 +73,14 @@
   const HostId &self() const { return Self; }
 
 private:
+  //! Returns whether a member started earlier than this host, so that the
+  //! members' knowledge of the fleet is older than this process.
+  bool hasOlderMember() const;
   bool startedTogether() const;
+  //! Returns the share of the seeds that are live. Parts of a fleet that do not
+  //! know of each other know different seeds, so that the sum of their shares
+  //! is at most 1.
+  double seedShare() const;
   double currentShare() const;
   void assign();
   std::uint8_t ownerClass() const;
@@ -83,6 +91,7 @@
     Instant DeadSince;
     std::uint8_t SizeClass = 0;
     Incarnation Run;
+    bool IsSeed = false;
   };
 
   AccountLimitSettings Settings;
@@ -95,6 +104,8 @@
   std::size_t KnownByPeers = 0;
   Instant KnownByPeersAt;
   bool StartedTogether = false;
+  std::size_t KnownSeeds = 0; //!< Whatever their status.
+  std::size_t LiveSeeds = 0;
   std::optional<Instant> FirstMembersAt;
   Instant JoinedAt; //!< When the last live member was learned.
   internal::SlidingExtreme<double, std::less<>> Share;
--- a/tests/coordination/account_limit/account_limit.tests.cpp
+++ b/tests/coordination/account_limit/account_limit.tests.cpp
@@ -496,6 +496,63 @@
   }
 }
 
+// Guards against two groups that each take themselves for the whole fleet after
+// a start of all hosts: both would grant the whole limit.
+TEST_CASE("parts of a fleet that started apart share a limit") {
+  constexpr std::size_t Count = 8;
+  constexpr std::size_t Seeds = 3;
+  AccountLimitSettings Settings;
+  Settings.Seeds = Seeds;
+  const auto Started = [](std::size_t I, std::uint64_t Ms) {
+    return FleetMember{HostId("h" + std::to_string(I)), FleetMemberStatus::Live,
+                       0, makeIncarnation(Ms, 0), I < Seeds};
+  };
+  const AccountLimit Limits[] = {limitOf("a", 60, 10)};
+  // Each bit is the part of a host.
+  for (unsigned Parts = 0; Parts < (1U << Count); ++Parts) {
+    CAPTURE(Parts);
+    std::vector<FleetMember> Side[2], All;
+    for (std::size_t I = 0; I < Count; ++I) {
+      All.push_back(Started(I, 1'000'000 + I * 40));
+      Side[(Parts >> I) & 1].push_back(All.back());
+    }
+    if (Side[0].empty() || Side[1].empty())
+      continue;
+    const Instant Start = Instant() + 1h;
+    AccountOwners First(Settings, Side[0].back().Host, Seeds);
+    AccountOwners Second(Settings, Side[1].back().Host, Seeds);
+    for (AccountOwners *Each : {&First, &Second})
+      Each->setAccounts(Limits);
+    First.setMembers(Side[0], Start);
+    Second.setMembers(Side[1], Start);
+    for (Instant Now = Start; Now < Start + 30s; Now += 250ms)
+      REQUIRE(First.share(Now) + Second.share(Now) <= 1 + 1e-9);
+    // Only one of them can know all seeds.
+    CHECK_FALSE((First.commonStart() && Second.commonStart()));
+    // Both have the whole limit once they know each other.
+    First.setMembers(All, Start + 30s);
+    Second.setMembers(All, Start + 30s);
+    const Instant Settled = Start + 30s + Settings.settleTime(Count) + 1s;
+    CHECK(First.share(Settled) == doctest::Approx(1));
+    CHECK(Second.share(Settled) == doctest::Approx(1));
+  }
+}
+
+// Guards against a lower limit for good after a seed was lost: a running member
+// knows of the hosts that are missing.
+TEST_CASE("a host that joins a running fleet without a seed has its share") {
+  AccountLimitSettings Settings;
+  Settings.Seeds = 3;
+  std::vector<FleetMember> Members;
+  for (std::size_t I = 1; I < 6; ++I)
+    Members.push_back({HostId("h" + std::to_string(I)), FleetMemberStatus::Live,
+                       0, makeIncarnation(I == 5 ? 900'000 : 1'000, 0), I < 3});
+  const Instant Start = Instant() + 1h;
+  AccountOwners Owners(Settings, HostId("h5"), 3);
+  Owners.setMembers(Members, Start);
+  CHECK(Owners.share(Start + 30s) == doctest::Approx(1));
+}
+
 // Guards against credit given out twice when owners change or cannot see each
 // other.
 TEST_CASE("the limits of accounts hold under faults") {
