Log the source of each change of a table and the load of gossip

Lines of all hosts could not tell why a host applied a configuration seconds after the others: whether its reader, gossip or the store brought it, how long it knew that it was behind, and what gossip cost it meanwhile. config_adopted now names the path and that time, feed_source each change of a feed's source, and control_load the messages of a period in which they were many. Counters by kind of message and gauges of the age of both tables say the same in metrics.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -83,7 +83,8 @@
       StartedAt(transport::now()), NextJoinAt(StartedAt + JoinDelay),
       State(Io, Settings, Platform.Wire, RandomSeed),
       Sync(State, Platform, [this] { announceProgress(); }),
-      Servers(std::make_unique<Listeners>()), TickTimer(Io), StopTimer(Io) {}
+      Servers(std::make_unique<Listeners>()),
+      Load(State.Log, State.Stats, StartedAt), TickTimer(Io), StopTimer(Io) {}
 
 GatewayDaemon::~GatewayDaemon() = default;
 
@@ -344,6 +345,7 @@
 }
 
 void GatewayDaemon::scheduleTick() {
+  TickDue = State.now() + TickPeriod;
   TickTimer.expires_after(TickPeriod);
   TickTimer.async_wait([this](boost::system::error_code Failure) {
     if (Failure || Ended)
@@ -354,6 +356,8 @@
 }
 
 void GatewayDaemon::tick() {
+  if (Gossip)
+    Load.endPeriod(Gossip->counters(), TickDue, State.now());
   for (const WorkerId &Id : State.Dispatch.tick(State.now()))
     State.Log.write(LogClass::Decision, "worker_gone",
                     {{"worker", Id.value()}, {"reason", "lapsed"}});
@@ -444,6 +448,12 @@
        static_cast<double>(State.Dispatch.directory().workers().size())},
       {"load_exchange_active", State.Loads.isActive() ? 1 : 0},
       {"load_gatherer", State.Loads.isGatherer() ? 1 : 0},
+      {"operator_behind_seconds",
+       std::chrono::duration<double>(Sync.behindFor(StoreTable::Operator))
+           .count()},
+      {"workers_behind_seconds",
+       std::chrono::duration<double>(Sync.behindFor(StoreTable::Workers))
+           .count()},
       {"members", static_cast<double>(Gossip ? Gossip->members().size() : 0)}};
   transport::HttpResponse Answer = transport::jsonResponse(
       Request, http::status::ok, State.Stats.text(Gauges));
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/control_load.hpp"
 #include "gateway/gateway_server.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/peer_exchange.hpp"
@@ -90,7 +91,9 @@
   std::unique_ptr<Listeners> Servers;
   std::unique_ptr<coordination::HybridClock> Clock;
   std::unique_ptr<transport::GossipNode> Gossip;
+  ControlLoad Load;
   boost::asio::steady_timer TickTimer;
+  Instant TickDue;
   boost::asio::steady_timer StopTimer;
   bool Stopping = false;
   bool Ended = false;
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -49,6 +49,7 @@
     return readStore(Feed);
   const FeedSource Source =
       Sources.choose(KnownMembers(), State.Settings.Domain, State.now());
+  logSource(Feed, Source);
   if (const auto *Reader = std::get_if<UseReader>(&Source))
     return awaitReader(Feed, *Await, Reader->Reader);
   if (const auto *Later = std::get_if<RetryLater>(&Source))
@@ -56,6 +57,22 @@
   awaitStore(Feed, *Await);
 }
 
+void StoreSync::logSource(TableFeed &Feed, const FeedSource &Source) {
+  const auto *Reader = std::get_if<UseReader>(&Source);
+  std::string Name = Reader ? Reader->Reader.Id.value()
+                     : std::holds_alternative<UseStore>(Source)
+                         ? std::string(StoreSource)
+                         : "none";
+  if (Name == Feed.LoggedSource)
+    return;
+  State.Log.write(LogClass::Decision, "feed_source",
+                  {{"table", tableName(Feed.Table)},
+                   {"source", Name},
+                   {"before", Feed.LoggedSource},
+                   {"version", Feed.Follower.table().version().Version}});
+  Feed.LoggedSource = std::move(Name);
+}
+
 void StoreSync::startNextCallAt(TableFeed &Feed, Instant Time) {
   Feed.Timer.expires_after(Time - State.now());
   Feed.Timer.async_wait([this, &Feed](boost::system::error_code Failure) {
@@ -111,7 +128,7 @@
                       return;
                     if (Update) {
                       Sources.answered(Id);
-                      applyUpdate(Feed, *Update);
+                      applyUpdate(Feed, *Update, "reader");
                       return startNextCall(Feed);
                     }
                     State.Stats.count("reader_failures", tableName(Feed.Table));
@@ -192,7 +209,7 @@
                     {{"table", tableName(Feed.Table)},
                      {"version", Feed.Follower.table().version().Version}});
   }
-  apply(Feed, Changes, "store", Feed.Follower.lapseGrace(State.now()));
+  apply(Feed, Changes, StoreSource, Feed.Follower.lapseGrace(State.now()));
   startNextCall(Feed);
 }
 
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -61,6 +61,9 @@
   std::optional<PeerUpdate> update(const PeerUpdateQuery &Query) const;
   TableProgress progress() const;
   bool isConnected() const;
+  //! Returns for how long this host has known that a peer has a newer version
+  //! of a table; zero if it knows of none.
+  Duration behindFor(StoreTable Table) const;
 
 private:
   //! Follower of one table, with its timer.
@@ -84,9 +87,17 @@
     std::uint64_t Generation = 0;
     std::optional<HostId> Reader;   //!< Queried instead of the store.
     bool ReportedConnected = false; //!< State in the last log line.
+    std::string LoggedSource;       //!< In the last line about the source.
+    coordination::StorePosition NewestOfPeers; //!< That gossip announced.
+    std::optional<Instant> BehindSince;        //!< See behindFor().
   };
 
+  //! Source in the log of what the store sent.
+  static constexpr std::string_view StoreSource = "store";
+
   void startNextCall(TableFeed &Feed);
+  //! Logs the source of a feed if it is another one than before.
+  void logSource(TableFeed &Feed, const coordination::FeedSource &Source);
   void startCall(TableFeed &Feed, const coordination::FollowerCall &Call);
   void startNextCallAt(TableFeed &Feed, Instant Time);
   void awaitStore(TableFeed &Feed, const coordination::AwaitChanges &Call);
@@ -100,7 +111,9 @@
   //! Records the definite removals of an update, also those that are known
   //! already as possible lapses.
   void recordDefiniteRemovals(TableFeed &Feed, const PeerUpdate &Update);
-  void applyUpdate(TableFeed &Feed, const PeerUpdate &Update);
+  //! \param Source for the log: "store", "reader" or "gossip".
+  void applyUpdate(TableFeed &Feed, const PeerUpdate &Update,
+                   std::string_view Source);
   void onStoreFailure(TableFeed &Feed, coordination::StoreFailure Failure);
   void onStoreChanges(TableFeed &Feed,
                       const std::vector<coordination::RowChange> &Changes);
@@ -122,7 +135,7 @@
   void startEra(TableFeed &Feed, std::string_view Source);
   //! Adds what this host holds from before a restore.
   void addHeld(PeerUpdate &Update, const PeerUpdateQuery &Query) const;
-  void applyHeld(const PeerUpdate &Update);
+  void applyHeld(const PeerUpdate &Update, std::string_view Source);
   void updateEvacuated();
   const TableFeed &feed(StoreTable Table) const {
     return Table == StoreTable::Operator ? OperatorFeed : WorkerFeed;
--- a/src/gateway/store_sync_peers.cpp
+++ b/src/gateway/store_sync_peers.cpp
@@ -27,6 +27,8 @@
 //! Number of peers that are asked after a restore what they hold from before.
 //! A single one may itself have just started.
 constexpr unsigned PeersAsked = 3;
+//! Source in the log of what a peer sent that gossip showed to be ahead.
+constexpr std::string_view CaughtUp = "gossip";
 
 } // namespace
 
@@ -51,13 +53,14 @@
           WorkerId(Change.Row.Key));
 }
 
-void StoreSync::applyUpdate(TableFeed &Feed, const PeerUpdate &Update) {
+void StoreSync::applyUpdate(TableFeed &Feed, const PeerUpdate &Update,
+                            std::string_view Source) {
   recordDefiniteRemovals(Feed, Update);
   if (!Update.IsSnapshot) {
     apply(Feed,
           Feed.Follower.onChanges(Update.Changes, Update.Version, State.now()),
-          "peer", Update.LapseGrace);
-    return applyHeld(Update);
+          Source, Update.LapseGrace);
+    return applyHeld(Update, Source);
   }
   TableSnapshot Snapshot;
   Snapshot.Version = Update.Version;
@@ -65,13 +68,13 @@
     Snapshot.Rows.push_back(Change.Row);
   apply(Feed,
         Feed.Follower.onPeerSnapshot(Snapshot, Update.LapseGrace, State.now()),
-        "peer", Update.LapseGrace);
-  applyHeld(Update);
+        Source, Update.LapseGrace);
+  applyHeld(Update, Source);
 }
 
-void StoreSync::applyHeld(const PeerUpdate &Update) {
+void StoreSync::applyHeld(const PeerUpdate &Update, std::string_view Source) {
   for (const TableRow &Row : Update.Held)
-    applyOperator({Row, false}, "peer");
+    applyOperator({Row, false}, Source);
   if (!Update.Held.empty() && Update.HeldGrace > Duration(0))
     EvacuationsHeldUntil = std::max(EvacuationsHeldUntil.value_or(State.now()),
                                     State.now() + Update.HeldGrace);
@@ -209,10 +212,21 @@
   if (!Exchange)
     return;
   const TableProgress Progress = TableProgress::of(Peer);
-  if (OperatorFeed.Follower.isBehind(Progress.Operator))
-    fetchFrom(OperatorFeed, Peer);
-  if (WorkerFeed.Follower.isBehind(Progress.Workers))
-    fetchFrom(WorkerFeed, Peer);
+  const auto Compare = [&](TableFeed &Feed, StorePosition Known) {
+    if (!Feed.Follower.isBehind(Known))
+      return;
+    Feed.NewestOfPeers = std::max(Feed.NewestOfPeers, Known);
+    if (!Feed.BehindSince)
+      Feed.BehindSince = State.now();
+    fetchFrom(Feed, Peer);
+  };
+  Compare(OperatorFeed, Progress.Operator);
+  Compare(WorkerFeed, Progress.Workers);
+}
+
+Duration StoreSync::behindFor(StoreTable Table) const {
+  const std::optional<Instant> &Since = feed(Table).BehindSince;
+  return Since ? State.now() - *Since : Duration(0);
 }
 
 void StoreSync::fetchFrom(TableFeed &Feed, const MemberRecord &Peer) {
@@ -257,13 +271,13 @@
         Feed.PeerAnswered = true;
         State.Stats.count("caught_up_with_peer", tableName(Feed.Table));
         if (Result->IsSnapshot) {
-          applyUpdate(Feed, *Result);
+          applyUpdate(Feed, *Result, CaughtUp);
         } else {
           recordDefiniteRemovals(Feed, *Result);
           apply(Feed,
                 Feed.Follower.onPeerChanges(Result->Changes, Result->Version),
-                "peer", Result->LapseGrace);
-          applyHeld(*Result);
+                CaughtUp, Result->LapseGrace);
+          applyHeld(*Result, CaughtUp);
         }
       });
 }
--- a/src/gateway/store_sync_rows.cpp
+++ b/src/gateway/store_sync_rows.cpp
@@ -25,7 +25,7 @@
                       std::string_view Source, Duration LapseGrace) {
   // A peer with a stable connection to the store sent changes, so the store is
   // available to it.
-  if (Source == "peer" && LapseGrace == Duration(0) && !Changes.empty())
+  if (Source != StoreSource && LapseGrace == Duration(0) && !Changes.empty())
     Feed.Follower.recordPeerChanges(State.now());
   recordRemovals(Feed, Changes, LapseGrace);
   RemovedWorkers.clear();
@@ -57,6 +57,8 @@
     State.Dispatch.directory().recordRemovals(RemovedWorkers, LapseGrace,
                                               State.now());
   }
+  if (!Feed.Follower.isBehind(Feed.NewestOfPeers))
+    Feed.BehindSince.reset();
   if (Changes.empty() && !EraStarted)
     return;
   OnChange();
@@ -98,7 +100,10 @@
            {"decode_ms",
             std::chrono::duration<double, std::milli>(State.now() - DecodeStart)
                 .count()},
-           {"source", std::string(Source)}});
+           {"source", std::string(Source)},
+           {"behind_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                             behindFor(StoreTable::Operator))
+                             .count()}});
       return;
     }
     const auto *Evacuated = std::get_if<Evacuation>(&Row);
--- a/src/masticgap/transport/gossip_node.cpp
+++ b/src/masticgap/transport/gossip_node.cpp
@@ -200,6 +200,7 @@
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(Message,
                         protocol::decodeGossip(std::span(Buffer.data(), Size)));
+        ++Counters.ReceivedByKind.at(Message.Body.index());
         callIfSet(Callbacks.Received, saysDead(Message, Member->self()));
         perform(
             Member->handle(GossipReceived{From, std::move(Message)}, now()));
@@ -233,6 +234,7 @@
           return {};
         }
         ++Counters.MessagesSent;
+        ++Counters.SentByKind.at(Message.Message.Body.index());
         Counters.BytesSent += Datagram.size();
         callIfSet(Callbacks.Sent, Message.To, Datagram.size());
         return {};
--- a/src/masticgap/transport/gossip_node.hpp
+++ b/src/masticgap/transport/gossip_node.hpp
@@ -7,11 +7,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/leaf/result.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace masticgap::transport {
@@ -24,6 +26,9 @@
   std::uint64_t BytesReceived = 0;
   std::uint64_t SendErrors = 0;
   std::uint64_t DecodeErrors = 0; //!< Datagrams that were dropped.
+  //! Messages by the index of their GossipBody.
+  std::array<std::uint64_t, std::variant_size_v<coordination::GossipBody>>
+      SentByKind{}, ReceivedByKind{};
 };
 
 //! Callbacks that a GossipNode runs on its io_context; each may be empty.
