Add a failing test of the load that a burst of rumors is for a relay

Five rumors from each of 143 hosts within a second make hosts that need 1 ms a message miss their probes: 2,066 false deaths, and 2,834 among 120 hosts of nine domains; some hosts send over 27 KB/s, the most that is allowed for control.

--- a/tests/coordination/gossip_world.hpp
+++ b/tests/coordination/gossip_world.hpp
@@ -29,6 +29,9 @@
     Duration MinLatency = std::chrono::milliseconds(1);
     //! Messages are reordered if it exceeds the minimum.
     Duration MaxLatency = std::chrono::milliseconds(1);
+    //! Time for which a host is busy with each message that it receives or
+    //! sends. Messages for a busy host wait in its socket buffer.
+    Duration HandlingTime{0};
   };
 
   struct Node {
@@ -39,6 +42,9 @@
     unsigned Side = 0; //!< Nodes with different values are partitioned.
     std::uint64_t Timer = 0;
     std::vector<GossipReceived> ReceivedWhilePaused;
+    Instant BusyUntil;
+    std::size_t Waiting = 0; //!< Messages in its socket buffer.
+    std::uint64_t BytesSent = 0;
     std::vector<RumorSettled> Settled;
     std::multiset<std::size_t> Learned; //!< Rumors learned, by variant index.
     std::map<HostId, Incarnation> Newest;
@@ -105,10 +111,18 @@
   std::optional<std::size_t> step() {
     const auto Next = Queue.begin();
     Now = std::max(Now, Next->first.first);
-    const Item Event = std::move(Next->second);
+    Item Event = std::move(Next->second);
     Queue.erase(Next);
     LastStepWasTimer = !Event.Message;
     Node &N = Nodes[Event.To];
+    if (Now < N.BusyUntil) {
+      Queue.emplace(std::pair(N.BusyUntil, ++Sequence), std::move(Event));
+      return std::nullopt;
+    }
+    if (Event.Message) {
+      --N.Waiting;
+      N.BusyUntil = Now + Net.HandlingTime;
+    }
     if (!N.Member || (!Event.Message && Event.Timer != N.Timer))
       return std::nullopt;
     if (N.Paused) {
@@ -233,6 +247,10 @@
       return;
     std::uniform_int_distribution<Duration::rep> Latency(
         Net.MinLatency.count(), Net.MaxLatency.count());
+    if (Net.HandlingTime > Duration(0) &&
+        Nodes[To].Waiting >= SocketBufferLimit)
+      return;
+    ++Nodes[To].Waiting;
     const Endpoint Source{Nodes[From].Self.Address, 7003};
     Queue.emplace(std::pair(Now + Duration(Latency(Random)), ++Sequence),
                   Item{To, 0, GossipReceived{Source, Message}});
@@ -245,6 +263,8 @@
         const std::size_t Size = encodedSize(Send->Message);
         ++Messages;
         Bytes += Size;
+        N.BytesSent += Size;
+        N.BusyUntil = std::max(N.BusyUntil, Now) + Net.HandlingTime;
         if (OnSend)
           OnSend(Send->Message);
         LargestMessage = std::max(LargestMessage, Size);
--- a/tests/coordination/membership_bytes.tests.cpp
+++ b/tests/coordination/membership_bytes.tests.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <bit>
 #include <chrono>
+#include <string>
+#include <vector>
 
 using namespace masticgap;
 using namespace masticgap::coordination;
@@ -95,3 +97,57 @@
     }
   }
 }
+
+namespace {
+
+//! Most that a host sends for control, see DEVELOPERS.md.
+constexpr std::uint64_t ControlBytesPerSecond = 27'000;
+
+//! Lets all hosts report requests that were lost when many workers died.
+void spreadBurst(GossipWorld &World) {
+  constexpr std::size_t RumorsPerHost = 5;
+  std::uint64_t Request = 0;
+  for (std::size_t Round = 0; Round < RumorsPerHost; ++Round)
+    for (std::size_t I = 0; I < World.Nodes.size(); ++I) {
+      const WorkerId Worker("i-" + std::to_string(1'000'000'000 + I % 86));
+      World.spread(I,
+                   RequestSuspected{{++Request}, Worker, Incarnation{Request}});
+      World.run(1ms);
+    }
+}
+
+} // namespace
+
+// Guards against hosts that answer neither probes nor feeds because they relay
+// the rumors of all others (incident 46).
+TEST_CASE("a burst of rumors leaves every host time for probes") {
+  struct Case {
+    const char *Name;
+    std::size_t Hosts;
+    unsigned Domains;
+  };
+  const Case Cases[] = {{"small", 16, 6}, {"large", 143, 6}, {"wide", 120, 9}};
+  for (const Case &C : Cases) {
+    CAPTURE(std::string(C.Name));
+    GossipWorld World(C.Hosts, 1, C.Domains);
+    World.Timing = gatewayTiming();
+    World.Net.MaxLatency = 20ms;
+    World.startAll();
+    REQUIRE(World.runUntil(60s, [&] { return World.allViewsExact(); }));
+    World.run(10s);
+    World.Net.HandlingTime = 1ms;
+    World.Changes.clear();
+    std::vector<std::uint64_t> Before;
+    for (const auto &Host : World.Nodes)
+      Before.push_back(Host.BytesSent);
+    const Instant Start = World.Now;
+    spreadBurst(World);
+    World.run(10s);
+    CHECK(World.Changes[MemberStatus::Dead] == 0);
+    const auto Seconds = static_cast<std::uint64_t>(
+        std::chrono::ceil<std::chrono::seconds>(World.Now - Start).count());
+    for (std::size_t I = 0; I < C.Hosts; ++I)
+      CHECK((World.Nodes[I].BytesSent - Before[I]) / Seconds <=
+            ControlBytesPerSecond);
+  }
+}
