Log calls to the store that get no usable answer

store_lost is written only by a host that had a connection. The 1st, 2nd, 4th... call of a series is logged with its time, so that the volume stays bounded.

--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -3,6 +3,7 @@
 #include "gateway/table_name.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace masticgap::gateway {
@@ -82,6 +83,7 @@
 }
 
 void StoreSync::awaitStore(TableFeed &Feed, const AwaitChanges &Call) {
+  Feed.CallStart = State.now();
   State.Stats.count("store_calls", tableName(Feed.Table));
   Platform.Store.Await(
       Feed.Table, Call,
@@ -99,6 +101,7 @@
 
 void StoreSync::readStore(TableFeed &Feed) {
   Feed.Reading = true;
+  Feed.CallStart = State.now();
   State.Stats.count("store_calls", tableName(Feed.Table));
   Platform.Store.Read(Feed.Table, [this, &Feed, StillAlive = Alive,
                                    Generation = Feed.Generation](auto Answer) {
@@ -193,6 +196,7 @@
     State.Log.write(LogClass::Decision, "store_lost",
                     {{"table", tableName(Feed.Table)},
                      {"version", Feed.Follower.table().version().Version}});
+  logFailedCall(Feed, HistoryGone);
   // HistoryGone is an answer of the store, so the store is still connected.
   Feed.ReportedConnected = HistoryGone && Feed.ReportedConnected;
   // Hosts that wait for changes here have to query another host.
@@ -200,9 +204,28 @@
   startNextCall(Feed);
 }
 
+void StoreSync::logFailedCall(TableFeed &Feed, bool HistoryGone) {
+  if (HistoryGone) {
+    Feed.FailedCalls = 0;
+    return;
+  }
+  // Of a long series, the first calls and then fewer and fewer are logged.
+  if (!std::has_single_bit(++Feed.FailedCalls))
+    return;
+  State.Log.write(LogClass::Decision, "store_call_failed",
+                  {{"table", tableName(Feed.Table)},
+                   {"call", Feed.Reading ? "read" : "changes"},
+                   {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              State.now() - Feed.CallStart)
+                              .count()},
+                   {"failures", Feed.FailedCalls},
+                   {"version", Feed.Follower.table().version().Version}});
+}
+
 void StoreSync::onStoreChanges(TableFeed &Feed,
                                const std::vector<RowChange> &Changes) {
   Sources.storeAnswered();
+  Feed.FailedCalls = 0;
   if (!Feed.ReportedConnected) {
     Feed.ReportedConnected = true;
     State.Log.write(LogClass::Decision, "store_connected",
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -87,6 +87,8 @@
     std::uint64_t Generation = 0;
     std::optional<HostId> Reader;   //!< Queried instead of the store.
     bool ReportedConnected = false; //!< State in the last log line.
+    Instant CallStart;              //!< Of the last call to the store.
+    unsigned FailedCalls = 0;       //!< To the store, since it answered one.
     std::string LoggedSource;       //!< In the last line about the source.
     coordination::StorePosition NewestOfPeers; //!< That gossip announced.
     std::optional<Instant> BehindSince;        //!< See behindFor().
@@ -114,6 +116,8 @@
   //! \param Source for the log: "store", "reader" or "gossip".
   void applyUpdate(TableFeed &Feed, const PeerUpdate &Update,
                    std::string_view Source);
+  //! Logs a call to the store without a usable answer.
+  void logFailedCall(TableFeed &Feed, bool HistoryGone);
   void onStoreFailure(TableFeed &Feed, coordination::StoreFailure Failure);
   void onStoreChanges(TableFeed &Feed,
                       const std::vector<coordination::RowChange> &Changes);
