Limit the pushes of a burst of rumors, and spread its relays over all hosts

Callers: a host applied a configuration seconds after the others, and it was declared dead while it ran.

Cause: each host pushed each rumor at once, 150 to 640 for one burst of worker deaths, to one relay a failure domain; all chose the first host by id, and the next one when that did not acknowledge within 120 ms. A relay with 0.07 of a core and 10 Mbit/s handled 3,793 datagrams in half a second; it answered neither probes nor feeds, was declared dead, and the load moved to the next.

Change: a relay is drawn by weighted rendezvous hashing of rumor and origin, in proportion to the processor of the hosts, and suspected ones come last. All members together start at most 50 spreads a second after a burst of 25: each counts the spreads that it hears. Rumors that have to wait are pushed together, eight in a message, and gossip carries them meanwhile. Resends wait longer when many spreads run. A sync waits until a burst of rumors has ended. A quarantine that all hosts conclude from the rumors of others is no longer pushed by each. Earlier versions read the messages: a push may have carried several rumors before, and is acknowledged by its first.

--- a/src/gateway/crash_detector.cpp
+++ b/src/gateway/crash_detector.cpp
@@ -103,7 +103,7 @@
              {"caller", Lost.Caller},
              {"quarantined", isQuarantined(Lost.RequestFingerprint, Now)}});
   Stats.count("worker_deaths", std::string(Sign));
-  spread(Action.Spread, "own");
+  spread(Action.Spread, OwnSource);
 }
 
 void CrashDetector::workerEnded(const WorkerId &Worker,
@@ -136,7 +136,7 @@
 }
 
 void CrashDetector::spread(std::span<const Rumor> Rumors,
-                           const std::string &Source) {
+                           std::string_view Source) {
   for (const Rumor &Message : Rumors) {
     if (const auto *Quarantined = std::get_if<RequestQuarantined>(&Message))
       Log.write(
@@ -147,8 +147,10 @@
                 {{"request_hash", Cleared->Request.Value},
                  {"worker", Cleared->Worker.value()},
                  {"source", Source}});
+    // All hosts draw the same conclusion from the rumors of others, so only
+    // what this host has seen itself is pushed.
     if (SendRumor)
-      SendRumor(Message);
+      SendRumor(Message, Source == OwnSource);
   }
 }
 
--- a/src/gateway/crash_detector.hpp
+++ b/src/gateway/crash_detector.hpp
@@ -32,7 +32,9 @@
 class CrashDetector {
 public:
   //! Sends a rumor to all hosts.
-  using RumorSender = std::function<void(const coordination::Rumor &)>;
+  //! \param Urgent whether it is pushed; else gossip carries it.
+  using RumorSender =
+      std::function<void(const coordination::Rumor &, bool Urgent)>;
 
   CrashDetector(boost::asio::io_context &Io,
                 transport::WorkerConnectionPool &Connections,
@@ -58,7 +60,7 @@
   //! Records that a worker answered the request, which clears the suspicion.
   void recordSuccess(coordination::Fingerprint RequestFingerprint,
                      Instant Now) {
-    spread(Quarantine.recordSuccess(RequestFingerprint, Now), "own");
+    spread(Quarantine.recordSuccess(RequestFingerprint, Now), OwnSource);
   }
   //! Returns whether the request crashed workers and must no longer be sent.
   bool isQuarantined(coordination::Fingerprint RequestFingerprint,
@@ -94,10 +96,13 @@
   boost::asio::awaitable<void>
   checkWorker(coordination::WorkerPick Pick, LostRequest Lost,
               std::chrono::milliseconds ConnectTimeout);
+  //! Source of what this host has seen itself.
+  static constexpr std::string_view OwnSource = "own";
+
   //! Logs rumors and sends them to all hosts.
-  //! \param Source "own" or "peer", for the log.
+  //! \param Source OwnSource or "peer".
   void spread(std::span<const coordination::Rumor> Rumors,
-              const std::string &Source);
+              std::string_view Source);
 
   boost::asio::io_context &Io;
   transport::WorkerConnectionPool &Connections;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -149,9 +149,11 @@
   Sync.start(*Servers->Peers, [this] {
     return Gossip ? Gossip->members() : std::span<const MemberRecord>();
   });
-  State.Crashes.setRumorSender([this](const Rumor &What) {
-    if (Gossip)
+  State.Crashes.setRumorSender([this](const Rumor &What, bool Urgent) {
+    if (Gossip && Urgent)
       Gossip->spread(What);
+    else if (Gossip)
+      Gossip->share(What);
   });
   const auto CurrentMembers = [this] {
     return Gossip ? Gossip->members() : std::span<const MemberRecord>();
--- a/src/masticgap/coordination/internal/membership_impl.hpp
+++ b/src/masticgap/coordination/internal/membership_impl.hpp
@@ -24,6 +24,7 @@
   // membership.cpp
   std::vector<MembershipAction> take() { return std::exchange(Actions, {}); }
   Instant nextDeadline() const;
+  void share(const Rumor &What, Instant Now);
   void spread(const Rumor &What, Instant Now);
   void planLeave();
   void leave(Instant Now);
@@ -83,7 +84,8 @@
   void recordChange(const MemberRecord &Record, bool WasLive, Source From,
                     Instant Now);
   void recordProgress(const MemberRecord &Record, bool VersionGrew);
-  void learnRumor(const TimedRumor &Item, Instant Now);
+  //! Returns whether the rumor is new or was renewed.
+  bool learnRumor(const TimedRumor &Item, Instant Now);
   void compareViews(const GossipReceived &Event, Instant Now);
   void on(const Ping &Body, const GossipReceived &Event, Instant Now);
   void on(const PingRequest &Body, const GossipReceived &Event, Instant Now);
--- a/src/masticgap/coordination/internal/membership_receive.cpp
+++ b/src/masticgap/coordination/internal/membership_receive.cpp
@@ -45,8 +45,11 @@
                Known && Known->ConfigVersion == Holders.ConfigVersion)
         Queue.versionHeard(Known->Host.Id);
     }
+  bool LearnedRumor = false;
   for (const TimedRumor &Item : Message.Rumors)
-    learnRumor(Item, Now);
+    LearnedRumor |= learnRumor(Item, Now);
+  if (LearnedRumor && std::holds_alternative<RumorPush>(Message.Body))
+    Spread.recordHeard(Now);
   std::visit([&](const auto &Body) { on(Body, Event, Now); }, Message.Body);
   compareViews(Event, Now);
 }
@@ -123,15 +126,20 @@
   Actions.push_back(MemberProgressed{Record});
 }
 
-void Membership::Impl::learnRumor(const TimedRumor &Item, Instant Now) {
+bool Membership::Impl::learnRumor(const TimedRumor &Item, Instant Now) {
   const auto MaxLifetime =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           Settings.Timing.RumorLifetime);
   TimedRumor Bounded = Item;
   Bounded.RemainingMs = std::min(
       Item.RemainingMs, static_cast<std::uint32_t>(MaxLifetime.count()));
-  if (Rumors.learn(Bounded, Now))
-    Actions.push_back(RumorLearned{Bounded});
+  if (!Rumors.learn(Bounded, Now))
+    return false;
+  // Pushes and gossip bring a burst of rumors to the members. A sync while they
+  // are under way would read most of them again.
+  LastViewChange = Now;
+  Actions.push_back(RumorLearned{Bounded});
+  return true;
 }
 
 void Membership::Impl::compareViews(const GossipReceived &Event, Instant Now) {
@@ -195,10 +203,16 @@
                           Instant Now) {
   if (Event.Message.Rumors.empty())
     return;
-  const std::uint64_t Id = rumorId(Event.Message.Rumors.front().What);
   if (!Body.Relay)
-    return sendPlain(Event.From, RumorAck{Id, false}, Now);
-  apply(Spread.relay(Id, Event.Message.Sender.Host.Id, Table.all(), Now), Now);
+    return sendPlain(
+        Event.From, RumorAck{rumorId(Event.Message.Rumors.front().What), false},
+        Now);
+  std::vector<std::uint64_t> Pushed;
+  for (const TimedRumor &Item : Event.Message.Rumors)
+    Pushed.push_back(rumorId(Item.What));
+  apply(Spread.relay(std::move(Pushed), Event.Message.Sender.Host.Id,
+                     Table.all(), Now),
+        Now);
 }
 
 void Membership::Impl::on(const RumorAck &Body, const GossipReceived &Event,
--- a/src/masticgap/coordination/internal/membership_timer.cpp
+++ b/src/masticgap/coordination/internal/membership_timer.cpp
@@ -29,7 +29,10 @@
     sendIndirect(Now);
   if (Now >= NextPeriod)
     startPeriod(Now);
-  apply(Spread.tick(Table.all(), Now), Now);
+  const auto IsStored = [this](std::uint64_t Id) {
+    return Rumors.find(Id) != nullptr;
+  };
+  apply(Spread.tick(Table.all(), IsStored, Now), Now);
 }
 
 void Membership::Impl::startPeriod(Instant Now) {
--- a/src/masticgap/coordination/membership.cpp
+++ b/src/masticgap/coordination/membership.cpp
@@ -33,7 +33,7 @@
                        Instant Now)
     : Settings(std::move(Initial)), Clock(Stamps), Random(Settings.RandomSeed),
       Table(initialRecord(Settings)), Rumors(Settings.Timing.MaxRumors),
-      Spread(Settings.Self.Id, Settings.Timing), NextPeriod(Now),
+      Spread(Settings.Self.Id, Settings.Timing, Random()), NextPeriod(Now),
       NextDeadProbe(Now + Settings.Timing.DeadProbeInterval),
       NextForget(Now + Settings.Timing.DeadProbeInterval), LastViewChange(Now) {
 }
@@ -82,10 +82,13 @@
 void Membership::Impl::apply(const SpreadStep &Step, Instant Now) {
   for (const RumorPushTo &Push : Step.Pushes) {
     const MemberRecord *To = Table.find(Push.To);
-    if (!To || !Rumors.find(Push.Rumor))
+    // The receiver acknowledges the first rumor of the message.
+    if (!To || !Rumors.find(Push.Rumors.front()))
       continue;
     GossipMessage Message = header(RumorPush{Push.Relay}, Now);
-    Message.Rumors.push_back(Rumors.timed(Push.Rumor, Now));
+    for (const std::uint64_t Id : Push.Rumors)
+      if (Rumors.find(Id))
+        Message.Rumors.push_back(Rumors.timed(Id, Now));
     Actions.push_back(SendGossip{gossipEndpoint(*To), std::move(Message)});
   }
   for (const RelayCovered &Covered : Step.Covered)
@@ -98,15 +101,23 @@
   }
 }
 
-void Membership::Impl::spread(const Rumor &What, Instant Now) {
+void Membership::Impl::share(const Rumor &What, Instant Now) {
   const auto Life = std::chrono::duration_cast<std::chrono::milliseconds>(
       Settings.Timing.RumorLifetime);
-  const std::uint64_t Id = rumorId(What);
   if (fitsGossip(What))
     Rumors.learn({What, static_cast<std::uint32_t>(Life.count())}, Now);
+}
+
+void Membership::Impl::spread(const Rumor &What, Instant Now) {
+  share(What, Now);
+  const std::uint64_t Id = rumorId(What);
+  if (Table.liveCount() == 1) {
+    Actions.push_back(RumorSettled{What, true, {}});
+    return;
+  }
   if (Rumors.find(Id)) {
     Spreading.try_emplace(Id, What);
-    apply(Spread.start(Id, Table.all(), Now), Now);
+    apply(Spread.start(Id, Now), Now);
     return;
   }
   // The name is too long for a message, or a larger configuration version is
@@ -204,6 +215,10 @@
 
 Instant Membership::nextDeadline() const { return State->nextDeadline(); }
 
+void Membership::share(const Rumor &What, Instant Now) {
+  State->share(What, Now);
+}
+
 std::vector<MembershipAction> Membership::spread(const Rumor &What,
                                                  Instant Now) {
   State->spread(What, Now);
--- a/src/masticgap/coordination/membership.hpp
+++ b/src/masticgap/coordination/membership.hpp
@@ -30,6 +30,9 @@
   //! Returns when the next MembershipTimer event is due.
   Instant nextDeadline() const;
 
+  //! Adds a rumor that gossip carries, without a spread.
+  void share(const Rumor &What, Instant Now);
+
   //! Spreads a rumor urgently. A RumorSettled action reports the end of the
   //! spread, immediately when there is no other live member. Spreading a known
   //! rumor renews it.
--- a/src/masticgap/coordination/membership_settings.hpp
+++ b/src/masticgap/coordination/membership_settings.hpp
@@ -34,6 +34,11 @@
   Duration RumorResend = std::chrono::milliseconds{60};
   //! Time after which a spread ends, acknowledged or not.
   Duration RumorSpreadTime = std::chrono::milliseconds{300};
+  //! Time for which rumors are collected for one spread.
+  Duration RumorCollectTime = std::chrono::milliseconds{10};
+  //! Minimum time between two spreads of a member, for each live member. All
+  //! members together start at most 50 spreads in a second.
+  Duration RumorSpreadShare = std::chrono::milliseconds{20};
   //! Above this number of other live members, urgent rumors are sent to one
   //! relay per failure domain.
   std::size_t DirectRumorMembers = 32;
--- a/src/masticgap/transport/gossip_node.cpp
+++ b/src/masticgap/transport/gossip_node.cpp
@@ -306,6 +306,10 @@
   State->spread(What, std::move(Done));
 }
 
+void GossipNode::share(const Rumor &What) {
+  State->member().share(What, State->now());
+}
+
 void GossipNode::planLeave() {
   State->perform(State->member().planLeave(State->now()));
 }
--- a/src/masticgap/transport/gossip_node.hpp
+++ b/src/masticgap/transport/gossip_node.hpp
@@ -70,6 +70,9 @@
         coordination::HybridClock &Clock, GossipCallbacks Callbacks);
   ~GossipNode();
 
+  //! Adds a rumor that gossip carries, without a spread.
+  void share(const coordination::Rumor &What);
+
   //! Spreads a rumor urgently. \p Done is called once, never inside this call,
   //! at the latest when RumorSpreadTime has passed or the node leaves.
   void spread(const coordination::Rumor &What, RumorSettledHandler Done = {});
--- a/tests/coordination/membership_bytes.tests.cpp
+++ b/tests/coordination/membership_bytes.tests.cpp
@@ -104,16 +104,19 @@
 constexpr std::uint64_t ControlBytesPerSecond = 27'000;
 
 //! Lets all hosts report requests that were lost when many workers died.
-void spreadBurst(GossipWorld &World) {
+//! \returns the number of rumors.
+std::size_t spreadBurst(GossipWorld &World) {
   constexpr std::size_t RumorsPerHost = 5;
   std::uint64_t Request = 0;
   for (std::size_t Round = 0; Round < RumorsPerHost; ++Round)
     for (std::size_t I = 0; I < World.Nodes.size(); ++I) {
       const WorkerId Worker("i-" + std::to_string(1'000'000'000 + I % 86));
+      ++Request;
       World.spread(I,
-                   RequestSuspected{{++Request}, Worker, Incarnation{Request}});
+                   RequestSuspected{{Request}, Worker, Incarnation{Request}});
       World.run(1ms);
     }
+  return Request;
 }
 
 } // namespace
@@ -141,8 +144,11 @@
     for (const auto &Host : World.Nodes)
       Before.push_back(Host.BytesSent);
     const Instant Start = World.Now;
-    spreadBurst(World);
+    const std::size_t Reported = spreadBurst(World);
     World.run(10s);
+    CHECK(std::ranges::all_of(World.Nodes, [&](const auto &Host) {
+      return Host.Member->rumors(World.Now).size() == Reported;
+    }));
     CHECK(World.Changes[MemberStatus::Dead] == 0);
     const auto Seconds = static_cast<std::uint64_t>(
         std::chrono::ceil<std::chrono::seconds>(World.Now - Start).count());
