Call the store when peers stay ahead of a host

A host waits for changes at the reader of its failure domain, up to 11 s for one answer, and fetches what gossip announces from one peer at a time. Where the reader and the peers are alive for gossip and answer no query, as hosts that are starved by control messages do, nothing bounded the age of its configuration: its own turn to call the store comes a second later for each host before it in its domain, up to 25 s with 27 hosts. It now calls the store once a second when gossip has named a newer version for a second. The calls are few: only hosts that are behind make them.

The test fails without it: version 1 is still in force 2 s after a peer announced version 2. Class: a feed with no bound of its own. The same covers the feed of the workers.

--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -42,6 +42,7 @@
 void StoreSync::startCall(TableFeed &Feed, const FollowerCall &Call) {
   Feed.Reader.reset();
   Feed.Reading = false;
+  Feed.CallingStore = false;
   if (const auto *Wait = std::get_if<WaitUntil>(&Call))
     return startNextCallAt(Feed, Wait->Time);
   ++Feed.Generation;
@@ -84,6 +85,7 @@
 
 void StoreSync::awaitStore(TableFeed &Feed, const AwaitChanges &Call) {
   Feed.CallStart = State.now();
+  Feed.CallingStore = true;
   State.Stats.count("store_calls", tableName(Feed.Table));
   Platform.Store.Await(
       Feed.Table, Call,
@@ -101,6 +103,7 @@
 
 void StoreSync::readStore(TableFeed &Feed) {
   Feed.Reading = true;
+  Feed.CallingStore = true;
   Feed.CallStart = State.now();
   State.Stats.count("store_calls", tableName(Feed.Table));
   Platform.Store.Read(Feed.Table, [this, &Feed, StillAlive = Alive,
--- a/src/gateway/store_sync.hpp
+++ b/src/gateway/store_sync.hpp
@@ -80,9 +80,11 @@
     //! Number of peers that are still to be asked what they hold from before a
     //! restore of the store.
     unsigned PeersToAsk = 0;
-    bool PeerAnswered = true; //!< One of those peers did.
-    bool Reading = false;     //!< The current call reads the table.
-    bool Fetching = false;    //!< Catching up with a peer.
+    bool PeerAnswered = true;  //!< One of those peers did.
+    bool Reading = false;      //!< The current call reads the table.
+    bool CallingStore = false; //!< The current call is one to the store.
+    Instant NextDirectCall;    //!< See callStoreIfBehind().
+    bool Fetching = false;     //!< Catching up with a peer.
     //! Results of calls from earlier generations are ignored.
     std::uint64_t Generation = 0;
     std::optional<HostId> Reader;   //!< Queried instead of the store.
@@ -116,6 +118,9 @@
   //! \param Source for the log: "store", "reader" or "gossip".
   void applyUpdate(TableFeed &Feed, const PeerUpdate &Update,
                    std::string_view Source);
+  //! Calls the store if this host has been behind its peers for long: its
+  //! reader and the peers that it asked may be silent or slow.
+  void callStoreIfBehind(TableFeed &Feed);
   //! Logs a call to the store without a usable answer.
   void logFailedCall(TableFeed &Feed, bool HistoryGone);
   void onStoreFailure(TableFeed &Feed, coordination::StoreFailure Failure);
--- a/src/gateway/store_sync_peers.cpp
+++ b/src/gateway/store_sync_peers.cpp
@@ -27,6 +27,9 @@
 //! Number of peers that are asked after a restore what they hold from before.
 //! A single one may itself have just started.
 constexpr unsigned PeersAsked = 3;
+//! Time behind a peer after which a host calls the store itself. A change is to
+//! be in force everywhere within 2 s on the strictest platform.
+constexpr std::chrono::milliseconds MaxBehindTime{1000};
 //! Source in the log of what a peer sent that gossip showed to be ahead.
 constexpr std::string_view CaughtUp = "gossip";
 
@@ -147,10 +150,26 @@
   return OperatorFeed.PeerAnswered && WorkerFeed.PeerAnswered;
 }
 
+void StoreSync::callStoreIfBehind(TableFeed &Feed) {
+  if (behindFor(Feed.Table) < MaxBehindTime || Feed.CallingStore ||
+      State.now() < Feed.NextDirectCall)
+    return;
+  Feed.NextDirectCall = State.now() + MaxBehindTime;
+  Feed.Timer.cancel();
+  ++Feed.Generation;
+  Feed.Reader.reset();
+  State.Stats.count("store_calls_behind", tableName(Feed.Table));
+  logSource(Feed, UseStore{});
+  awaitStore(Feed, AwaitChanges{Feed.Follower.table().version(), Duration(0),
+                                Duration(0)});
+}
+
 void StoreSync::tick() {
   if (Stopped || !Exchange)
     return;
   askPeers();
+  callStoreIfBehind(OperatorFeed);
+  callStoreIfBehind(WorkerFeed);
   if (!EvacuationsHeldUntil || State.now() < *EvacuationsHeldUntil)
     return;
   EvacuationsHeldUntil.reset();
--- a/tests/gateway/store_sync.tests.cpp
+++ b/tests/gateway/store_sync.tests.cpp
@@ -58,7 +58,8 @@
     };
     Settings.Host = HostId("self");
     Settings.Domain = FailureDomainName("d");
-    Sync.start(Exchange, [] { return std::span<const MemberRecord>(); });
+    Sync.start(Exchange,
+               [this] { return std::span<const MemberRecord>(Members); });
     runUntil([&] { return Calls.size() == 2; });
   }
 
@@ -73,6 +74,7 @@
   GatewaySettings Settings;
   PlatformApi Api;
   GatewayState State{Io, Settings, Api.Wire, 1};
+  std::vector<MemberRecord> Members; //!< Known to gossip.
   std::deque<StoreApi::ChangesHandler> Calls;
   StoreSync Sync{State, Api, [] {}};
   PeerExchange Exchange{
@@ -109,3 +111,46 @@
     CHECK(Host.runUntil([&] { return Host.State.configVersion() == 2; }));
   }
 }
+
+// Guards against an older configuration that stays in force for as long as the
+// reader and the peers of a host are alive for gossip and answer no query.
+TEST_CASE(
+    "a host behind silent peers reads the change from the store in time") {
+  SyncedHost Host;
+  // Connections to it are accepted by the system and never answered.
+  boost::asio::ip::tcp::acceptor Silent(
+      Host.Io, {boost::asio::ip::address_v4::loopback(), 0});
+  MemberRecord Self;
+  Self.Host.Id = Host.Settings.Host;
+  Self.Host.Domain = Host.Settings.Domain;
+  Host.Members.push_back(Self);
+  constexpr int SilentHosts = 12;
+  for (int I = 0; I < SilentHosts; ++I) {
+    MemberRecord Peer;
+    Peer.Host.Id = HostId("peer-" + std::to_string(I));
+    Peer.Host.Domain = Host.Settings.Domain;
+    Peer.Host.Address = "127.0.0.1";
+    Peer.Host.AdminPort = Silent.local_endpoint().port();
+    Host.Members.push_back(Peer);
+  }
+  FeedSourceChoice Choice(Host.Settings.Host);
+  REQUIRE(std::holds_alternative<UseReader>(
+      Choice.choose(Host.Members, Host.Settings.Domain, Host.State.now())));
+  // The feeds end their calls to the store and wait at the silent reader.
+  for (auto &Done : std::exchange(Host.Calls, {}))
+    Done(TableChanges{{}, {0, 1}});
+  Host.Io.run_for(500ms);
+  REQUIRE(Host.Calls.empty());
+  Host.Members.back().ConfigVersion = 2;
+  const auto Announced = std::chrono::steady_clock::now();
+  constexpr auto Bound = 2s; // The strictest "config_apply" of a deployment.
+  while (Host.State.configVersion() < 2 &&
+         std::chrono::steady_clock::now() < Announced + Bound) {
+    Host.Sync.peerProgressed(Host.Members.back());
+    Host.Sync.tick();
+    for (auto &Done : std::exchange(Host.Calls, {}))
+      Done(TableChanges{{{configRow(2), false}}, {0, 2}});
+    Host.Io.run_for(100ms);
+  }
+  CHECK(Host.State.configVersion() == 2);
+}
