Check the age of configurations in the soak

The soak read no log of a gateway, so a change that came late or an older one that came back was seen only if a caller happened to use a route that was added meanwhile. It now reads when each gateway had each version in force: versions may only rise within a process, and a gateway without a fault in the 6 s before has a change 3 s after its acknowledgement.

--- a/scripts/local/soak.py
+++ b/scripts/local/soak.py
@@ -26,6 +26,9 @@
 BURST_SHARE = 0.15  # Share of the faults with which a burst of changes begins.
 # A gateway answers a peer's query after 7 to 10 s without changes. Time without changes before a burst.
 QUIET_S = (6.5, 9.5)
+CONFIG_APPLY_S = 3.0     # A change is in force on undisturbed gateways within this time.
+HEAL_S = 3.0             # The longest fault.
+CONTACT_S = 6.0          # After the begin of a fault a gateway counts as disturbed for so long.
 LOG_TAIL = 12       # Lines of the log that are shown for an unexpected exit.
 # Seeds that failed once, with the cause; they run before new ones.
 KEPT_SEEDS = {
@@ -152,6 +155,7 @@
         self.results = []
         self.violations = []
         self.version = 0
+        self.configurations = []  # (Unix time, version) of each acknowledged change.
         self.burst_random = random.Random(f"burst {seed}")
         self.leave_random = random.Random(f"leave {seed}")
         self.announcements = {}  # (gateway, run, worker): time at which a caller got an answer that announces it.
@@ -258,6 +262,7 @@
                          "rows": [["svc", "/health", 600, "1s", 20]]},
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
                        "header_timeout": "3000ms", "idle_timeout": "15000ms"}}))
+        self.configurations.append((time.time(), self.version))
 
     def add_worker(self):
         self.worker_number += 1
@@ -405,6 +410,10 @@
                 self.burst_thread.join()
             self.heal()
             self.await_service(RECOVERY_S)
+            # Faults are over for all gateways when this change is judged.
+            time.sleep(CONTACT_S - HEAL_S)
+            self.put_config()
+            time.sleep(CONFIG_APPLY_S)
             self.ended = True
             for caller in callers:
                 caller.join(12)
@@ -427,7 +436,7 @@
             worker.stop()
 
     def heal(self):
-        time.sleep(3)
+        time.sleep(HEAL_S)
         self.control("mode=serve")
         for gateway in self.gateways:
             gateway.proxy.set_mode("pass")
@@ -458,7 +467,32 @@
             gateway.write_stack()
         self.violate(f"no 20 requests in a row were served within {limit} s, the last run had {good}; {states}")
 
+    def judge_configurations(self):
+        """Checks in the logs that versions only rise in a process, and that undisturbed gateways have each in time."""
+        to_unix = time.time() - time.monotonic()
+        for gateway in self.gateways:
+            faults = [at + to_unix for at, _ in gateway.faults]
+            starts, adopted, newest = [], [], 0
+            for line in pathlib.Path(gateway.log.name).read_text(errors="replace").splitlines():
+                fields = dict(word.split("=", 1) for word in line.split(" ") if "=" in word)
+                if fields.get("event") == "started":
+                    starts.append(int(fields["ts"]) / 1000)
+                    newest = 0
+                elif fields.get("event") == "config_adopted":
+                    version = int(fields["version"])
+                    if version <= newest:
+                        self.violate(f"g{gateway.number} went from version {newest} back to {version}")
+                    newest = version
+                    adopted.append((int(fields["ts"]) / 1000, version))
+            for acknowledged, version in self.configurations:
+                due = acknowledged + CONFIG_APPLY_S
+                if any(acknowledged - CONTACT_S < at < due for at in faults + starts):
+                    continue
+                if not any(at <= due and known >= version for at, known in adopted):
+                    self.violate(f"version {version} was not in force on g{gateway.number} after {CONFIG_APPLY_S} s")
+
     def judge(self):
+        self.judge_configurations()
         arrivals, requests = collections.Counter(), collections.Counter()
         for ident, safe, _, status, gateway, run, begun, _ in self.results:
             ran = len(self.runs.get(ident, ()))
