Test the client's view of an upload whose worker resets its answer

This one is at the sockets: uploads in one buffer, streamed with a length and in chunks, over new and kept connections to the worker, ten of each, and reads what the client gets. The reader of the raw caller no longer throws when the peer closes before all was written: it may have answered before, and the answer is what the tests check.

--- a/tests/common/raw_caller.cpp
+++ b/tests/common/raw_caller.cpp
@@ -16,7 +16,9 @@
   asio::io_context Io(1);
   asio::ip::tcp::socket Connection(Io);
   Connection.connect({asio::ip::make_address(To.Address), To.Port});
-  asio::write(Connection, asio::buffer(Bytes));
+  // A peer that closes early may have answered before.
+  boost::system::error_code Ignored;
+  asio::write(Connection, asio::buffer(Bytes), Ignored);
   std::string Received;
   bool Closed = false;
   // The end of the stream and a reset are both reported as errors.
--- a/tests/gateway/broken_answers.tests.cpp
+++ b/tests/gateway/broken_answers.tests.cpp
@@ -2,15 +2,22 @@
 #include "common/raw_caller.hpp"
 #include "gateway_fixture.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 #include <atomic>
 #include <optional>
+#include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace masticgap;
 using namespace masticgap::tests;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -196,3 +203,145 @@
     CHECK(Worker.seen().size() == (C.Accepted ? 1 : 0));
   }
 }
+
+namespace {
+
+//! Worker that answers short requests whole and keeps their connections open.
+//! To an upload it sends the start of an answer without a length as soon as it
+//! has read the head, and resets the connection.
+class EarlyAnswerWorker {
+public:
+  EarlyAnswerWorker()
+      : Acceptor(Io, {asio::ip::address_v4::loopback(), 0}),
+        Accepting([this] { accept(); }) {}
+  ~EarlyAnswerWorker() {
+    Stopped = true;
+    // Ends the blocking accept.
+    boost::system::error_code Ignored;
+    asio::ip::tcp::socket Waker(Io);
+    Waker.connect(Local, Ignored);
+    Accepting.join();
+    Waker.close(Ignored);
+    for (std::thread &Thread : Serving)
+      Thread.join();
+  }
+  EarlyAnswerWorker(const EarlyAnswerWorker &) = delete;
+  EarlyAnswerWorker &operator=(const EarlyAnswerWorker &) = delete;
+
+  Endpoint endpoint() const { return {"127.0.0.1", Local.port()}; }
+  unsigned resetsOfKept() const { return ResetsOfKept; }
+  unsigned resets() const { return Resets; }
+
+private:
+  void accept() {
+    for (;;) {
+      asio::ip::tcp::socket Connection(Io);
+      boost::system::error_code Failure;
+      Acceptor.accept(Connection, Failure);
+      if (Failure || Stopped)
+        return;
+      Serving.emplace_back(
+          [this, Own = std::move(Connection)]() mutable { serve(Own); });
+    }
+  }
+
+  void serve(asio::ip::tcp::socket &Connection) {
+    std::string Received;
+    boost::system::error_code Failure;
+    for (unsigned Number = 0;; ++Number) {
+      const std::size_t HeadEnd = asio::read_until(
+          Connection, asio::dynamic_buffer(Received), "\r\n\r\n", Failure);
+      if (Failure)
+        return;
+      if (Received.starts_with("POST /unsafe/upload")) {
+        asio::write(Connection,
+                    asio::buffer("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\n"
+                                 "Response-Signature: s\r\n\r\n" +
+                                 std::string(Part, 'a')),
+                    Failure);
+        Connection.set_option(asio::socket_base::linger(true, 0), Failure);
+        ++Resets;
+        ResetsOfKept += Number > 0 ? 1 : 0;
+        return;
+      }
+      Received.erase(0, HeadEnd);
+      asio::write(Connection, asio::buffer(workerAnswer(200, "id-1", "ok")),
+                  Failure);
+    }
+  }
+
+  static constexpr std::size_t Part = 20'000;
+  asio::io_context Io{1};
+  asio::ip::tcp::acceptor Acceptor;
+  asio::ip::tcp::endpoint Local = Acceptor.local_endpoint();
+  std::atomic<bool> Stopped = false;
+  std::atomic<unsigned> Resets = 0;
+  std::atomic<unsigned> ResetsOfKept = 0;
+  std::vector<std::thread> Serving;
+  std::thread Accepting;
+};
+
+} // namespace
+
+// Guards against a part of an answer that reaches the caller as a whole one
+// because its worker resets the connection while the upload is being written.
+TEST_CASE("the answer to an upload that its worker resets is not complete") {
+  constexpr std::size_t BufferedBytes = 40'000;
+  constexpr std::size_t StreamedBytes = 3'000'000;
+  constexpr int Rounds = 10;
+  struct Case {
+    const char *Name;
+    std::size_t Bytes;
+    bool Chunked;
+    bool Kept; //!< The connection to the worker is one that was used before.
+  };
+  for (const Case &C : {Case{"buffered, new", BufferedBytes, false, false},
+                        Case{"buffered, kept", BufferedBytes, false, true},
+                        Case{"streamed, new", StreamedBytes, false, false},
+                        Case{"streamed, kept", StreamedBytes, false, true},
+                        Case{"chunks, new", StreamedBytes, true, false},
+                        Case{"chunks, kept", StreamedBytes, true, true}}) {
+    CAPTURE(std::string(C.Name));
+    // The gateway closes its connections before the worker ends.
+    EarlyAnswerWorker Worker;
+    GatewayFixture F;
+    F.setMaxBodyBytes(2 * StreamedBytes);
+    F.putWorker("w1", Worker.endpoint());
+    F.putConfig(1);
+    F.start();
+    F.awaitReady();
+    const std::string Fields = "Host: a.example\r\nAttempt-Id: id-1\r\n";
+    const std::string Data(C.Bytes, 'x');
+    std::ostringstream Size;
+    Size << std::hex << C.Bytes;
+    const std::string Upload =
+        "POST /unsafe/upload HTTP/1.1\r\n" + Fields + "Connection: close\r\n" +
+        (C.Chunked ? "Transfer-Encoding: chunked\r\n\r\n" + Size.str() +
+                         "\r\n" + Data + "\r\n0\r\n\r\n"
+                   : "Content-Length: " + std::to_string(C.Bytes) + "\r\n\r\n" +
+                         Data);
+    const std::string First = "POST /unsafe/first HTTP/1.1\r\n" + Fields +
+                              "Content-Length: 0\r\n\r\n";
+    for (int Round = 0; Round < Rounds; ++Round) {
+      const auto Received = receiveUntilClosed(
+          F.settings().Traffic, C.Kept ? First + Upload : Upload);
+      REQUIRE(Received);
+      std::string Answer = *Received;
+      if (C.Kept) {
+        REQUIRE(Answer.starts_with("HTTP/1.1 200"));
+        Answer.erase(0, Answer.find("ok") + 2);
+      }
+      // A success would be whole if it states no length or ends its chunks.
+      const bool IsSuccess = Answer.starts_with("HTTP/1.1 2");
+      const bool HasChunks =
+          Answer.find("Transfer-Encoding: chunked") != std::string::npos;
+      const bool HasLength =
+          Answer.find("Content-Length: ") != std::string::npos;
+      const bool LooksWhole =
+          HasChunks ? Answer.ends_with("\r\n0\r\n\r\n") : !HasLength;
+      CHECK_FALSE((IsSuccess && LooksWhole));
+    }
+    CHECK(Worker.resets() == Rounds);
+    CHECK(Worker.resetsOfKept() == (C.Kept ? Rounds : 0));
+  }
+}
