--- a/tests/gateway/broken_answers.tests.cpp
+++ b/tests/gateway/broken_answers.tests.cpp
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <chrono>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -211,9 +212,11 @@
 //! has read the head, and resets the connection.
 class EarlyAnswerWorker {
 public:
-  EarlyAnswerWorker()
-      : Acceptor(Io, {asio::ip::address_v4::loopback(), 0}),
-        Accepting([this] { accept(); }) {}
+  EarlyAnswerWorker() : Acceptor(Io, {asio::ip::address_v4::loopback(), 0}) {
+    // Connections inherit it, so that most of an upload waits in the gateway.
+    Acceptor.set_option(asio::socket_base::receive_buffer_size(ReceiveBytes));
+    Accepting = std::thread([this] { accept(); });
+  }
   ~EarlyAnswerWorker() {
     Stopped = true;
     // Ends the blocking accept.
@@ -259,6 +262,8 @@
                                  "Response-Signature: s\r\n\r\n" +
                                  std::string(Part, 'a')),
                     Failure);
+        // The gateway reads the part, and still has bytes to write.
+        std::this_thread::sleep_for(ResetDelay);
         Connection.set_option(asio::socket_base::linger(true, 0), Failure);
         ++Resets;
         ResetsOfKept += Number > 0 ? 1 : 0;
@@ -271,6 +276,8 @@
   }
 
   static constexpr std::size_t Part = 20'000;
+  static constexpr std::chrono::milliseconds ResetDelay{20};
+  static constexpr int ReceiveBytes = 4096;
   asio::io_context Io{1};
   asio::ip::tcp::acceptor Acceptor;
   asio::ip::tcp::endpoint Local = Acceptor.local_endpoint();
@@ -286,8 +293,8 @@
 // Guards against a part of an answer that reaches the caller as a whole one
 // because its worker resets the connection while the upload is being written.
 TEST_CASE("the answer to an upload that its worker resets is not complete") {
-  constexpr std::size_t BufferedBytes = 40'000;
-  constexpr std::size_t StreamedBytes = 3'000'000;
+  constexpr std::size_t BufferedBytes = 200'000;
+  constexpr std::size_t StreamedBytes = 16'000'000;
   constexpr int Rounds = 10;
   struct Case {
     const char *Name;
