--- a/review/common3/world.py
+++ b/review/common3/world.py
@@ -73,11 +73,21 @@
         self.faults = {}  # name of a gateway -> 'busy', 'reset', 'silent'
         self.delay = 0.004
         self.servers = []
+        self.connections = {}  # port -> open connections
 
     async def listen(self, host, name):
         server = await asyncio.start_server(lambda r, w: self.serve(name, r, w), host, 0)
         self.servers.append(server)
-        return server.sockets[0].getsockname()[1]
+        port = server.sockets[0].getsockname()[1]
+        server.port = port
+        self.connections[port] = set()
+        return port
+
+    def cut_connections(self, servers):
+        """Resets the connections to listeners that have ended."""
+        for server in servers:
+            for writer in list(self.connections[server.port]):
+                reset(writer)
 
     def put(self, table, key, value):
         self.version += 1
@@ -155,6 +165,8 @@
         return 404, {}
 
     async def serve(self, name, reader, writer):
+        mine = self.connections[writer.get_extra_info("sockname")[1]]
+        mine.add(writer)
         try:
             while True:
                 line, fields, _ = await read_head(reader)
@@ -182,6 +194,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            mine.discard(writer)
             writer.close()
 
 
